Lay out the workspace: the ledger's fold, the home's decisions, codecs, platform clients and stand-ins

Cause: the project is empty; the first path needs its parts. Change: Maven modules, the core's ledger and home, record codecs with generated gRPC code, clients of the log service and the instance list, stand-ins for log, list, engine and plain service.

--- /dev/null
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeEvent.kt
@@ -0,0 +1,57 @@
+package org.heatherwind.core.home
+
+import org.heatherwind.core.identity.AttemptKey
+import org.heatherwind.core.identity.BudgetId
+import org.heatherwind.core.identity.Digest
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.core.ledger.AttemptOutcome
+import org.heatherwind.core.ledger.LedgerBatch
+import org.heatherwind.core.ledger.SettlementOutcome
+
+/** What a home reacts to. */
+public sealed interface HomeEvent {
+    /**
+     * An entry asks to reserve [tokens], the request's worst case. The answer comes by [waitUntil]; the request itself
+     * ends by [deadline].
+     */
+    public data class Reserve(
+        val request: RequestKey,
+        val budget: BudgetId,
+        val keyDigest: Digest,
+        val tokens: Long,
+        val entry: Incarnation,
+        val waitUntil: Timestamp,
+        val deadline: Timestamp,
+        val claim: AttemptClaim? = null,
+    ) : HomeEvent
+
+    /** An entry reports how a request ended that ran under the grant of [holder]. */
+    public data class Settle(
+        val request: RequestKey,
+        val budget: BudgetId,
+        val holder: Incarnation,
+        val charged: Long,
+        val outcome: SettlementOutcome,
+        val attemptEnd: AttemptEnd? = null,
+    ) : HomeEvent
+
+    /** A batch was read back from the shard's stream. */
+    public data class BatchRead(val offset: Long, val batch: LedgerBatch) : HomeEvent
+
+    /** An entry's process is known to be gone. */
+    public data class EntryGone(val entry: Incarnation) : HomeEvent
+
+    /** Time passed. */
+    public data object Tick : HomeEvent
+
+    /** The router stops: idle grants go back. */
+    public data object Drain : HomeEvent
+}
+
+/** Non-idempotent work that must be claimed before it runs. */
+public data class AttemptClaim(val attempt: AttemptKey, val fingerprint: Digest)
+
+/** How a claimed attempt ended. */
+public data class AttemptEnd(val attempt: AttemptKey, val outcome: AttemptOutcome)
--- /dev/null
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeGrants.kt
@@ -0,0 +1,78 @@
+package org.heatherwind.core.home
+
+import org.heatherwind.core.identity.BudgetId
+import org.heatherwind.core.ledger.BudgetAccount
+import org.heatherwind.core.ledger.GrantRequested
+import org.heatherwind.core.ledger.GrantReturned
+
+private const val SECONDS_PER_MINUTE = 60L
+
+internal fun HomeDraft.withdrawIfIdle(budget: BudgetId) {
+    val holding = state.holdings[budget] ?: return
+    if (holding.waiting.isNotEmpty() || holding.isWantPending) return
+    val isUnmet = state.ledger.budgets[budget]?.unmet?.containsKey(state.holder) ?: false
+    if (isUnmet) appendWant(budget, wanted = 0, atLeast = 0)
+}
+
+internal fun HomeDraft.want(budget: BudgetId, need: Long) {
+    val holding = state.holdings.getValue(budget)
+    val account = state.ledger.budgets[budget] ?: return
+    val missing = (need - state.freeOf(budget)).coerceAtLeast(1)
+    val smallest = holding.waiting.minOfOrNull { it.tokens } ?: need
+    val atLeast = (smallest - state.freeOf(budget)).coerceAtLeast(1)
+    val isStated = account.unmet[state.holder]?.atLeast == atLeast
+    if (holding.isWantPending || isStated) return
+    val target = GrantSizing.targetSize(account, state.holder, holding.demand, need, SizingPlan(settings, now))
+    appendWant(budget, wanted = maxOf(missing, target - state.freeOf(budget)), atLeast = atLeast)
+}
+
+internal fun HomeDraft.refillAhead(budget: BudgetId) {
+    val account = state.ledger.budgets[budget] ?: return
+    val holding = state.holdings[budget] ?: return
+    if (holding.isWantPending || account.available <= 0) return
+    val free = state.freeOf(budget)
+    val target = GrantSizing.targetSize(account, state.holder, holding.demand, need = 0, SizingPlan(settings, now))
+    if (!GrantSizing.isLow(free, target)) return
+    val wanted = minOf(target - free, account.available)
+    if (wanted > 0) appendWant(budget, wanted = wanted, atLeast = 1)
+}
+
+private fun HomeDraft.appendWant(budget: BudgetId, wanted: Long, atLeast: Long) {
+    val demandPerMinute = state.holdings[budget]?.demand?.tokensOver(SECONDS_PER_MINUTE, now) ?: 0
+    changeHolding(budget) { copy(isWantPending = true) }
+    append(GrantRequested(budget, state.holder, wanted, atLeast, demandPerMinute))
+}
+
+internal fun HomeDraft.giveBackSurplus(budget: BudgetId) {
+    val account = state.ledger.budgets[budget] ?: return
+    val elsewhere = account.wantedByOthers(state)
+    if (elsewhere <= 0) return
+    val holding = state.holdings[budget] ?: Holding()
+    val free = state.freeOf(budget)
+    val isBehindInLine = holding.waiting.isNotEmpty() && account.unmet.keys.first() != state.holder
+    val isFirstInLine = holding.waiting.isNotEmpty() && !isBehindInLine
+    val surplus = when {
+        isFirstInLine -> 0
+        isBehindInLine || state.isDraining -> free
+        else -> GrantSizing.surplus(free, elsewhere, holding.demand, SizingPlan(settings, now))
+    }
+    giveBack(budget, surplus)
+}
+
+private fun BudgetAccount.wantedByOthers(state: HomeState): Long =
+    unmet.entries.filter { it.key != state.holder }.sumOf { it.value.atLeast }
+
+private fun HomeDraft.giveBack(budget: BudgetId, tokens: Long) {
+    if (tokens <= 0) return
+    changeHolding(budget) { copy(committed = committed + tokens) }
+    append(GrantReturned(budget, state.holder, tokens))
+}
+
+internal fun HomeDraft.drain() {
+    state = state.copy(isDraining = true)
+    giveBackAll()
+}
+
+internal fun HomeDraft.giveBackAll() {
+    state.ledger.budgets.keys.forEach { giveBack(it, state.freeOf(it)) }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeReading.kt
@@ -0,0 +1,76 @@
+package org.heatherwind.core.home
+
+import org.heatherwind.core.identity.BudgetId
+import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.ledger.LedgerEvent
+import org.heatherwind.core.ledger.LedgerFold
+import org.heatherwind.core.ledger.OpenKey
+import org.heatherwind.core.ledger.RequestSettled
+import org.heatherwind.core.ledger.SettlementOutcome
+import org.heatherwind.core.result.ResultCode
+
+internal fun HomeDraft.read(event: HomeEvent.BatchRead) {
+    val folded = LedgerFold.fold(state.ledger, event.offset, event.batch)
+    state = state.copy(ledger = folded.state)
+    folded.events.forEach { react(it) }
+    folded.events.filterIsInstance<LedgerEvent.BudgetChanged>().map { it.budget }.distinct()
+        .forEach { afterBudgetChange(it) }
+}
+
+private fun HomeDraft.react(event: LedgerEvent) = when (event) {
+    is LedgerEvent.BudgetChanged -> Unit
+    is LedgerEvent.WantDecided -> reactToWant(event)
+    is LedgerEvent.ReturnFolded -> reactToReturn(event)
+    is LedgerEvent.SettlementFolded -> reactToSettlement(event)
+    is LedgerEvent.ClaimDecided -> reactToClaim(event)
+    is LedgerEvent.HolderQuarantined -> Unit
+}
+
+private fun HomeDraft.reactToWant(event: LedgerEvent.WantDecided) {
+    if (event.holder == state.holder) changeHolding(event.budget) { copy(isWantPending = false) }
+}
+
+private fun HomeDraft.reactToReturn(event: LedgerEvent.ReturnFolded) {
+    if (event.holder == state.holder) changeHolding(event.budget) { copy(committed = committed - event.tokens) }
+}
+
+private fun HomeDraft.reactToSettlement(event: LedgerEvent.SettlementFolded) {
+    val record = event.record
+    val settling = state.settling[OpenKey(record.holder, record.request)]
+    when {
+        settling == record -> finishSettling(settling)
+        record.holder == state.holder -> dropHeld(record.request)
+    }
+}
+
+private fun HomeDraft.finishSettling(record: RequestSettled) {
+    val key = OpenKey(record.holder, record.request)
+    state = state.copy(settling = state.settling.remove(key))
+    if (record.holder == state.holder) changeHolding(record.budget) { copy(committed = committed - record.charged) }
+    confirm(key)
+}
+
+private fun HomeDraft.dropHeld(request: RequestKey) {
+    val held = state.open[request] ?: return
+    state = state.copy(open = state.open.remove(request))
+    changeHolding(held.budget) { copy(committed = committed - held.reserved) }
+}
+
+private fun HomeDraft.reactToClaim(event: LedgerEvent.ClaimDecided) {
+    val held = state.open[event.request] ?: return
+    if (!held.isClaimPending) return
+    if (event.won) {
+        state = state.copy(open = state.open.put(event.request, held.copy(isClaimPending = false)))
+        answer(event.request, ReserveAnswer.Reserved(state.holder))
+    } else {
+        val recorded = held.claim?.let { recordedAnswer(it) }
+        closeOwn(event.request, held, charged = 0, SettlementOutcome.NOT_RUN)
+        answer(event.request, recorded ?: ReserveAnswer.Refused(ResultCode.ATTEMPT_OUTCOME_UNKNOWN))
+    }
+}
+
+private fun HomeDraft.afterBudgetChange(budget: BudgetId) {
+    serveWaiting(budget)
+    withdrawIfIdle(budget)
+    giveBackSurplus(budget)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeReservations.kt
@@ -0,0 +1,81 @@
+package org.heatherwind.core.home
+
+import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.ledger.AttemptClaimed
+import org.heatherwind.core.ledger.AttemptOutcome
+import org.heatherwind.core.ledger.OpenKey
+import org.heatherwind.core.ledger.RequestOpened
+import org.heatherwind.core.ledger.SettlementOutcome
+import org.heatherwind.core.result.ResultCode
+
+internal fun HomeDraft.reserve(event: HomeEvent.Reserve) {
+    val refusal = refusalOf(event)
+    if (refusal != null) return answer(event.request, refusal)
+    changeHolding(event.budget) { copy(demand = demand.plus(event.tokens, now)) }
+    if (state.freeOf(event.budget) >= event.tokens) {
+        admit(event)
+        refillAhead(event.budget)
+    } else {
+        changeHolding(event.budget) { copy(waiting = waiting.add(event)) }
+        serveWaiting(event.budget)
+    }
+}
+
+private fun HomeDraft.refusalOf(event: HomeEvent.Reserve): ReserveAnswer? {
+    val account = state.ledger.budgets[event.budget]
+    val code = when {
+        account == null || event.keyDigest !in account.keyDigests -> ResultCode.KEY_NOT_ACCEPTED
+        event.tokens <= 0 -> ResultCode.TOKEN_COUNT_OUT_OF_RANGE
+        state.isClosed -> ResultCode.ROUTER_DRAINING
+        isKnownRequest(event.request) -> ResultCode.REQUEST_IN_PROGRESS
+        isAnswered(event.request) -> ResultCode.REQUEST_ALREADY_ANSWERED
+        state.settling.size >= settings.maximumQueuedSettlements -> ResultCode.SETTLEMENT_QUEUE_FULL
+        else -> null
+    }
+    return if (code != null) ReserveAnswer.Refused(code) else event.claim?.let(::recordedAnswer)
+}
+
+private fun HomeDraft.isKnownRequest(request: RequestKey): Boolean =
+    request in state.open || OpenKey(state.holder, request) in state.settling
+
+private fun HomeDraft.isAnswered(request: RequestKey): Boolean =
+    state.ledger.settled[request]?.outcome == SettlementOutcome.COMPLETED
+
+internal fun HomeDraft.recordedAnswer(claim: AttemptClaim): ReserveAnswer? {
+    val attempt = state.ledger.attempts[claim.attempt] ?: return null
+    if (attempt.fingerprint != claim.fingerprint) return ReserveAnswer.Refused(ResultCode.IDEMPOTENCY_KEY_REUSED)
+    return when (val outcome = attempt.outcome) {
+        null -> ReserveAnswer.Refused(ResultCode.ATTEMPT_OUTCOME_UNKNOWN)
+        AttemptOutcome.Unknown -> ReserveAnswer.Refused(ResultCode.ATTEMPT_OUTCOME_UNKNOWN)
+        AttemptOutcome.NotRun -> null
+        is AttemptOutcome.Answered -> ReserveAnswer.Recorded(outcome)
+    }
+}
+
+internal fun HomeDraft.admit(event: HomeEvent.Reserve) {
+    val held = HeldRequest(
+        budget = event.budget,
+        reserved = event.tokens,
+        entry = event.entry,
+        waitUntil = event.waitUntil,
+        deadline = event.deadline,
+        claim = event.claim,
+        isClaimPending = event.claim != null,
+    )
+    state = state.copy(open = state.open.put(event.request, held))
+    changeHolding(event.budget) { copy(committed = committed + event.tokens) }
+    append(openedRecord(event))
+    when (val claim = event.claim) {
+        null -> answer(event.request, ReserveAnswer.Reserved(state.holder))
+        else -> append(AttemptClaimed(claim.attempt, claim.fingerprint, event.request))
+    }
+}
+
+private fun HomeDraft.openedRecord(event: HomeEvent.Reserve) = RequestOpened(
+    budget = event.budget,
+    holder = state.holder,
+    request = event.request,
+    reserved = event.tokens,
+    entry = event.entry,
+    deadline = event.deadline,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerSnapshot.kt
@@ -0,0 +1,147 @@
+package org.heatherwind.core.ledger
+
+import kotlinx.collections.immutable.toPersistentHashMap
+import kotlinx.collections.immutable.toPersistentHashSet
+import kotlinx.collections.immutable.toPersistentMap
+import kotlinx.serialization.Serializable
+import org.heatherwind.core.identity.AttemptKey
+import org.heatherwind.core.identity.BudgetId
+import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Digest
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.Timestamp
+
+/** A shard's state as it is written to the log and sent to peers. [through] is the last folded offset. */
+@Serializable
+public data class LedgerSnapshot(
+    val through: Long,
+    val budgets: List<BudgetEntry>,
+    val settledCurrent: List<SettledEntry>,
+    val settledPrevious: List<SettledEntry>,
+    val attemptsCurrent: List<AttemptEntry>,
+    val attemptsPrevious: List<AttemptEntry>,
+    val open: List<OpenEntry>,
+    val writers: List<HolderTokens>,
+    val gone: List<Incarnation>,
+) {
+    /** The state from which this snapshot was taken. */
+    public fun toState(): LedgerState = LedgerState(
+        through = through,
+        budgets = budgets.associate { it.budget to it.toAccount() }.toPersistentHashMap(),
+        settled = RecentMap(
+            capacity = REMEMBERED_KEYS,
+            current = settledCurrent.associate { it.request to SettledRequest(it.outcome, it.charged) }.toPersistentHashMap(),
+            previous = settledPrevious.associate { it.request to SettledRequest(it.outcome, it.charged) }.toPersistentHashMap(),
+        ),
+        attempts = RecentMap(
+            capacity = REMEMBERED_KEYS,
+            current = attemptsCurrent.associate { it.key to it.toAttempt() }.toPersistentHashMap(),
+            previous = attemptsPrevious.associate { it.key to it.toAttempt() }.toPersistentHashMap(),
+        ),
+        open = open.associate { OpenKey(it.holder, it.request) to it.toOpen() }.toPersistentHashMap(),
+        writers = writers.associate { it.holder to it.tokens }.toPersistentHashMap(),
+        gone = gone.toPersistentHashSet(),
+    )
+
+    /** A number of one holder: tokens, or a batch number among the writers. */
+    @Serializable
+    public data class HolderTokens(val holder: Incarnation, val tokens: Long)
+
+    /** One unmet want, in the order of the log. */
+    @Serializable
+    public data class WantEntry(val holder: Incarnation, val wanted: Long, val atLeast: Long)
+
+    /** One budget. */
+    @Serializable
+    public data class BudgetEntry(
+        val budget: BudgetId,
+        val customer: CustomerId,
+        val keyDigests: List<Digest>,
+        val topUpKeys: List<String>,
+        val prepaid: Long,
+        val spent: Long,
+        val remaining: List<HolderTokens>,
+        val demand: List<HolderTokens>,
+        val unmet: List<WantEntry>,
+        val shortfall: Long,
+    ) {
+        internal fun toAccount(): BudgetAccount = BudgetAccount(
+            customer = customer,
+            keyDigests = keyDigests.toPersistentHashSet(),
+            topUpKeys = topUpKeys.toPersistentHashSet(),
+            prepaid = prepaid,
+            spent = spent,
+            outstanding = remaining.sumOf { it.tokens },
+            remaining = remaining.associate { it.holder to it.tokens }.toPersistentHashMap(),
+            demand = demand.associate { it.holder to it.tokens }.toPersistentHashMap(),
+            unmet = unmet.associate { it.holder to UnmetWant(it.wanted, it.atLeast) }.toPersistentMap(),
+            shortfall = shortfall,
+        )
+    }
+
+    /** One settled request. */
+    @Serializable
+    public data class SettledEntry(val request: RequestKey, val outcome: SettlementOutcome, val charged: Long)
+
+    /** One claimed attempt. */
+    @Serializable
+    public data class AttemptEntry(
+        val key: AttemptKey,
+        val fingerprint: Digest,
+        val request: RequestKey,
+        val outcome: AttemptOutcome? = null,
+    ) {
+        internal fun toAttempt(): Attempt = Attempt(fingerprint, request, outcome)
+    }
+
+    /** One open request. */
+    @Serializable
+    public data class OpenEntry(
+        val holder: Incarnation,
+        val request: RequestKey,
+        val budget: BudgetId,
+        val reserved: Long,
+        val entry: Incarnation,
+        val deadline: Timestamp,
+    ) {
+        internal fun toOpen(): OpenRequest = OpenRequest(budget, reserved, entry, deadline)
+    }
+}
+
+/** This state as a snapshot. */
+public fun LedgerState.toSnapshot(): LedgerSnapshot = LedgerSnapshot(
+    through = through,
+    budgets = budgets.map { (budget, account) -> account.toEntry(budget) },
+    settledCurrent = settled.current.map { LedgerSnapshot.SettledEntry(it.key, it.value.outcome, it.value.charged) },
+    settledPrevious = settled.previous.map { LedgerSnapshot.SettledEntry(it.key, it.value.outcome, it.value.charged) },
+    attemptsCurrent = attempts.current.map { it.value.toEntry(it.key) },
+    attemptsPrevious = attempts.previous.map { it.value.toEntry(it.key) },
+    open = open.map { (key, request) ->
+        LedgerSnapshot.OpenEntry(
+            holder = key.holder,
+            request = key.request,
+            budget = request.budget,
+            reserved = request.reserved,
+            entry = request.entry,
+            deadline = request.deadline,
+        )
+    },
+    writers = writers.map { LedgerSnapshot.HolderTokens(it.key, it.value) },
+    gone = gone.toList(),
+)
+
+private fun Attempt.toEntry(key: AttemptKey) = LedgerSnapshot.AttemptEntry(key, fingerprint, request, outcome)
+
+private fun BudgetAccount.toEntry(budget: BudgetId) = LedgerSnapshot.BudgetEntry(
+    budget = budget,
+    customer = customer,
+    keyDigests = keyDigests.toList(),
+    topUpKeys = topUpKeys.toList(),
+    prepaid = prepaid,
+    spent = spent,
+    remaining = remaining.map { LedgerSnapshot.HolderTokens(it.key, it.value) },
+    demand = demand.map { LedgerSnapshot.HolderTokens(it.key, it.value) },
+    unmet = unmet.map { LedgerSnapshot.WantEntry(it.key, it.value.wanted, it.value.atLeast) },
+    shortfall = shortfall,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerState.kt
@@ -0,0 +1,52 @@
+package org.heatherwind.core.ledger
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.PersistentSet
+import kotlinx.collections.immutable.persistentHashMapOf
+import kotlinx.collections.immutable.persistentHashSetOf
+import org.heatherwind.core.identity.AttemptKey
+import org.heatherwind.core.identity.BudgetId
+import org.heatherwind.core.identity.Digest
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.Timestamp
+
+/** Least number of settled requests and of attempts that a shard remembers. */
+public const val REMEMBERED_KEYS: Int = 200_000
+
+/** Offset before the first record of a stream. */
+public const val BEFORE_FIRST_OFFSET: Long = -1
+
+/**
+ * The state of one ledger shard: a pure fold over its stream, the same on every router.
+ *
+ * @property through offset of the last folded batch
+ * @property writers the last batch number seen of each writer
+ * @property gone holders declared gone whose grants are quarantined
+ */
+public data class LedgerState(
+    val through: Long = BEFORE_FIRST_OFFSET,
+    val budgets: PersistentMap<BudgetId, BudgetAccount> = persistentHashMapOf(),
+    val settled: RecentMap<RequestKey, SettledRequest> = RecentMap(REMEMBERED_KEYS),
+    val attempts: RecentMap<AttemptKey, Attempt> = RecentMap(REMEMBERED_KEYS),
+    val open: PersistentMap<OpenKey, OpenRequest> = persistentHashMapOf(),
+    val writers: PersistentMap<Incarnation, Long> = persistentHashMapOf(),
+    val gone: PersistentSet<Incarnation> = persistentHashSetOf(),
+)
+
+/** The bill of one request: how it ended and what was charged, in tokens. */
+public data class SettledRequest(val outcome: SettlementOutcome, val charged: Long)
+
+/** Names a request that runs under one holder's grant. */
+public data class OpenKey(val holder: Incarnation, val request: RequestKey)
+
+/** A request that was reported open and is not settled. [reserved] is in tokens. */
+public data class OpenRequest(
+    val budget: BudgetId,
+    val reserved: Long,
+    val entry: Incarnation,
+    val deadline: Timestamp,
+)
+
+/** A claimed piece of non-idempotent work; [outcome] is null while it runs or after its runner died. */
+public data class Attempt(val fingerprint: Digest, val request: RequestKey, val outcome: AttemptOutcome? = null)
--- /dev/null
+++ b/standins/src/main/kotlin/org/heatherwind/standins/instances/MemoryInstanceList.kt
@@ -0,0 +1,47 @@
+package org.heatherwind.standins.instances
+
+import arrow.core.Either
+import arrow.core.right
+import org.heatherwind.core.identity.Clock
+import org.heatherwind.core.identity.InstanceId
+import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.platform.instances.InstanceList
+import org.heatherwind.platform.instances.InstanceListFailure
+import org.heatherwind.platform.instances.ListedInstance
+import java.util.concurrent.ConcurrentLinkedDeque
+
+/** An instance list in memory that shows each change [lagMilliseconds] late. */
+public class MemoryInstanceList(
+    private val lagMilliseconds: Long = 0,
+    private val clock: Clock = Clock.system,
+) : InstanceList {
+    private val versions = ConcurrentLinkedDeque(listOf(Version(Timestamp(0), emptyMap())))
+
+    override suspend fun read(): Either<InstanceListFailure, List<ListedInstance>> {
+        val shown = clock.now().plusMilliseconds(-lagMilliseconds)
+        return versions.last { it.since <= shown || it.since == Timestamp(0) }.instances.values.toList().right()
+    }
+
+    /** Adds or changes [instance]. */
+    @Synchronized
+    public fun put(instance: ListedInstance) {
+        change { it + (instance.instance to instance) }
+    }
+
+    /** Removes [instance]. */
+    @Synchronized
+    public fun remove(instance: InstanceId) {
+        change { it - instance }
+    }
+
+    private fun change(change: (Map<InstanceId, ListedInstance>) -> Map<InstanceId, ListedInstance>) {
+        versions += Version(clock.now(), change(versions.last.instances))
+        while (versions.size > KEPT_VERSIONS) versions.removeFirst()
+    }
+
+    private class Version(val since: Timestamp, val instances: Map<InstanceId, ListedInstance>)
+
+    private companion object {
+        const val KEPT_VERSIONS = 1_000
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/heatherwind/standins/log/StreamContent.kt
@@ -0,0 +1,36 @@
+package org.heatherwind.standins.log
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.persistentListOf
+import org.heatherwind.platform.log.LogEntry
+import org.heatherwind.platform.log.LogFailure
+import org.heatherwind.platform.log.LogPage
+
+/** The kept records of one stream; the first stands at offset [oldest]. */
+internal class StreamContent(
+    val oldest: Long = 0,
+    private val records: PersistentList<ByteArray> = persistentListOf(),
+) {
+    val end: Long get() = oldest + records.size
+
+    fun plus(record: ByteArray) = StreamContent(oldest, records.add(record))
+
+    fun withoutBefore(offset: Long): StreamContent {
+        val dropped = (offset - oldest).coerceIn(0, records.size.toLong()).toInt()
+        return if (dropped == 0) this else StreamContent(oldest + dropped, records.dropFirst(dropped))
+    }
+
+    fun page(from: Long, limit: Int): Either<LogFailure, LogPage> {
+        if (from < oldest) return LogFailure.OffsetGone(oldest).left()
+        val first = (from - oldest).coerceAtMost(records.size.toLong()).toInt()
+        val last = minOf(first + limit, records.size)
+        val entries = records.subList(first, last).mapIndexed { index, record -> LogEntry(from + index, record) }
+        return LogPage(entries, oldest, end).right()
+    }
+
+    private fun PersistentList<ByteArray>.dropFirst(count: Int): PersistentList<ByteArray> =
+        if (count == 1) removeAt(0) else persistentListOf<ByteArray>().addAll(subList(count, size))
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/heatherwind/standins/targets/EngineStandIn.kt
@@ -0,0 +1,131 @@
+package org.heatherwind.standins.targets
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondText
+import io.ktor.server.response.respondTextWriter
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.RoutingCall
+import io.ktor.server.routing.post
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.int
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import kotlinx.serialization.json.putJsonObject
+import java.io.Writer
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * How an engine stand-in behaves at present.
+ *
+ * @property firstTokenMilliseconds time before the first token
+ * @property tokenMilliseconds time between tokens
+ * @property cutsAfterTokens closes the connection after so many tokens, or null
+ * @property refuses whether it answers 503 without running anything
+ */
+public data class EngineBehaviour(
+    val firstTokenMilliseconds: Long = 2,
+    val tokenMilliseconds: Long = 1,
+    val cutsAfterTokens: Int? = null,
+    val refuses: Boolean = false,
+)
+
+/** A model engine that streams chat completions and holds at most [slots] requests; one more is refused. */
+public class EngineStandIn(private val slots: Int) {
+    private val inFlight = AtomicInteger()
+    private val runs = AtomicLong()
+    private val highest = AtomicInteger()
+
+    /** The present behaviour. */
+    @Volatile
+    public var behaviour: EngineBehaviour = EngineBehaviour()
+
+    /** Requests run so far. */
+    public val runCount: Long get() = runs.get()
+
+    /** Most requests ever held at once, refused ones included. */
+    public val highestInFlight: Int get() = highest.get()
+
+    /** Serves the engine's interface. */
+    public fun routes(route: Route) {
+        route.post("/v1/chat/completions") { hold(call) }
+    }
+
+    private suspend fun hold(call: RoutingCall) {
+        val held = inFlight.incrementAndGet()
+        highest.accumulateAndGet(held, ::maxOf)
+        try {
+            if (held > slots || behaviour.refuses) {
+                call.respondText("{}", ContentType.Application.Json, HttpStatusCode.ServiceUnavailable)
+            } else {
+                runs.incrementAndGet()
+                stream(call, Json.parseToJsonElement(call.receiveText()).jsonObject)
+            }
+        } finally {
+            inFlight.decrementAndGet()
+        }
+    }
+
+    private suspend fun stream(call: RoutingCall, request: JsonObject) {
+        val model = request.getValue("model").jsonPrimitive.content
+        val prompt = request.getValue("messages").jsonArray
+            .joinToString("\n") { it.jsonObject.getValue("content").jsonPrimitive.content }
+        val pieces = EngineAnswer.pieces(model, prompt, request["max_tokens"]?.jsonPrimitive?.int ?: Int.MAX_VALUE)
+        delay(behaviour.firstTokenMilliseconds)
+        call.respondTextWriter(ContentType.Text.EventStream) {
+            pieces.forEachIndexed { index, piece ->
+                if (index == behaviour.cutsAfterTokens) error("the engine stand-in cuts this answer")
+                writeEvent(chunk(model, piece, EngineAnswer.promptTokens(prompt), index + 1))
+                delay(behaviour.tokenMilliseconds)
+            }
+            writeEvent(lastChunk(model, EngineAnswer.promptTokens(prompt), pieces.size))
+            write("data: [DONE]\n\n")
+        }
+    }
+
+    private fun Writer.writeEvent(event: JsonObject) {
+        write("data: $event\n\n")
+        flush()
+    }
+
+    private fun chunk(model: String, piece: String, promptTokens: Int, completionTokens: Int) = buildJsonObject {
+        put("object", "chat.completion.chunk")
+        put("model", model)
+        putJsonArray("choices") {
+            addJsonObject {
+                put("index", 0)
+                putJsonObject("delta") { put("content", piece) }
+            }
+        }
+        putUsage(promptTokens, completionTokens)
+    }
+
+    private fun lastChunk(model: String, promptTokens: Int, completionTokens: Int) = buildJsonObject {
+        put("object", "chat.completion.chunk")
+        put("model", model)
+        putJsonArray("choices") {
+            addJsonObject {
+                put("index", 0)
+                putJsonObject("delta") {}
+                put("finish_reason", "stop")
+            }
+        }
+        putUsage(promptTokens, completionTokens)
+    }
+
+    private fun kotlinx.serialization.json.JsonObjectBuilder.putUsage(promptTokens: Int, completionTokens: Int) {
+        putJsonObject("usage") {
+            put("prompt_tokens", promptTokens)
+            put("completion_tokens", completionTokens)
+        }
+    }
+}
