--- a/core/src/main/kotlin/org/heatherwind/core/configuration/ConfigurationState.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/configuration/ConfigurationState.kt
@@ -4,15 +4,6 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.serialization.Serializable
 
-/** A change that an operator published, made from the version [base]. */
-@Serializable
-public data class ConfigurationPublished(
-    val base: Long,
-    val publisher: String,
-    val changeKey: String,
-    val configuration: FleetConfiguration,
-)
-
 /** An accepted version. Versions count from 1; version 0 is the empty configuration. */
 @Serializable
 public data class ConfigurationVersion(
--- a/core/src/main/kotlin/org/heatherwind/core/home/Home.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/Home.kt
@@ -14,6 +14,7 @@
             is HomeEvent.Reserve -> draft.reserve(event)
             is HomeEvent.Settle -> draft.settle(event)
             is HomeEvent.BatchRead -> draft.read(event)
+            is HomeEvent.LedgerReplaced -> draft.replaceLedger(event.ledger)
             is HomeEvent.EntryGone -> draft.interruptRequestsOf { it.entry == event.entry }
             is HomeEvent.Tick -> draft.tick()
             is HomeEvent.Drain -> draft.drain()
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeEvent.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeEvent.kt
@@ -8,6 +8,7 @@
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.ledger.AttemptOutcome
 import org.heatherwind.core.ledger.LedgerBatch
+import org.heatherwind.core.ledger.LedgerState
 import org.heatherwind.core.ledger.SettlementOutcome
 
 /** What a home reacts to. */
@@ -40,6 +41,9 @@
     /** A batch was read back from the shard's stream. */
     public data class BatchRead(val offset: Long, val batch: LedgerBatch) : HomeEvent
 
+    /** The reader fell behind the log's retention and went on from a newer state. */
+    public data class LedgerReplaced(val ledger: LedgerState) : HomeEvent
+
     /** An entry's process is known to be gone. */
     public data class EntryGone(val entry: Incarnation) : HomeEvent
 
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeReading.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeReading.kt
@@ -2,8 +2,10 @@
 
 import org.heatherwind.core.identity.BudgetId
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.ledger.AttemptOutcome
 import org.heatherwind.core.ledger.LedgerEvent
 import org.heatherwind.core.ledger.LedgerFold
+import org.heatherwind.core.ledger.LedgerState
 import org.heatherwind.core.ledger.OpenKey
 import org.heatherwind.core.ledger.RequestSettled
 import org.heatherwind.core.ledger.SettlementOutcome
@@ -74,3 +76,23 @@
     withdrawIfIdle(budget)
     giveBackSurplus(budget)
 }
+
+/** Goes on from [ledger]. Returns that were folded unseen stay committed here, which strands them but spends nothing. */
+internal fun HomeDraft.replaceLedger(ledger: LedgerState) {
+    if (ledger.through <= state.ledger.through) return
+    state = state.copy(ledger = ledger)
+    state.settling.values.filter { isFolded(it) }.forEach { finishSettling(it) }
+    for ((request, held) in state.open) {
+        val attempt = held.claim?.let { ledger.attempts[it.attempt] } ?: continue
+        val isOpenToClaims = attempt.request != request && attempt.outcome == AttemptOutcome.NotRun
+        if (isOpenToClaims) continue
+        reactToClaim(LedgerEvent.ClaimDecided(held.claim.attempt, request, won = attempt.request == request))
+    }
+    for (budget in state.holdings.keys) {
+        changeHolding(budget) { copy(isWantPending = false) }
+        afterBudgetChange(budget)
+    }
+}
+
+private fun HomeDraft.isFolded(record: RequestSettled): Boolean =
+    record.outcome == SettlementOutcome.NOT_RUN || record.request in state.ledger.settled
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeReservations.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeReservations.kt
@@ -27,7 +27,7 @@
         account == null || event.keyDigest !in account.keyDigests -> ResultCode.KEY_NOT_ACCEPTED
         event.tokens <= 0 -> ResultCode.TOKEN_COUNT_OUT_OF_RANGE
         state.isClosed -> ResultCode.ROUTER_DRAINING
-        isKnownRequest(event.request) -> ResultCode.REQUEST_IN_PROGRESS
+        isKnownRequest(event) -> ResultCode.REQUEST_IN_PROGRESS
         isAnswered(event.request) -> ResultCode.REQUEST_ALREADY_ANSWERED
         state.settling.size >= settings.maximumQueuedSettlements -> ResultCode.SETTLEMENT_QUEUE_FULL
         else -> null
@@ -35,8 +35,10 @@
     return if (code != null) ReserveAnswer.Refused(code) else event.claim?.let(::recordedAnswer)
 }
 
-private fun HomeDraft.isKnownRequest(request: RequestKey): Boolean =
-    request in state.open || OpenKey(state.holder, request) in state.settling
+private fun HomeDraft.isKnownRequest(event: HomeEvent.Reserve): Boolean =
+    event.request in state.open ||
+        OpenKey(state.holder, event.request) in state.settling ||
+        state.holdings[event.budget]?.waiting.orEmpty().any { it.request == event.request }
 
 private fun HomeDraft.isAnswered(request: RequestKey): Boolean =
     state.ledger.settled[request]?.outcome == SettlementOutcome.COMPLETED
--- a/core/src/main/kotlin/org/heatherwind/core/routing/TargetChoice.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/routing/TargetChoice.kt
@@ -22,19 +22,19 @@
         TargetLoads(if (of(target) <= 1) inFlight.remove(target) else inFlight.put(target, of(target) - 1))
 }
 
-/** Chooses a target whose share of slots for this router is not used up. */
+/** A target with the number of its slots that this router may use. */
+public data class OfferedTarget(val definition: TargetDefinition, val slots: Int)
+
+/** Chooses a target whose slots for this router are not used up. */
 public object TargetChoice {
-    /** The least loaded of [targets] that has a slot free among [routers] equal routers, or null. */
+    /** The one of [targets] with the smallest share of its slots in use, or null when none has a slot free. */
     public fun choose(
-        targets: List<TargetDefinition>,
+        targets: List<OfferedTarget>,
         loads: TargetLoads,
-        routers: Int,
         excluded: Set<TargetId> = emptySet(),
     ): TargetDefinition? =
         targets
-            .filter { it.name !in excluded && loads.of(it.name) < slotShare(it.slots, routers) }
-            .minByOrNull { loads.of(it.name).toDouble() / it.slots }
-
-    /** Slots of a target that one of [routers] routers may use, so that all together stay within [slots]. */
-    public fun slotShare(slots: Int, routers: Int): Int = slots / maxOf(routers, 1)
+            .filter { it.definition.name !in excluded && loads.of(it.definition.name) < it.slots }
+            .minByOrNull { loads.of(it.definition.name).toDouble() / it.slots }
+            ?.definition
 }
--- /dev/null
+++ b/operator/src/main/kotlin/org/heatherwind/operator/client/CallerClient.kt
@@ -0,0 +1,146 @@
+package org.heatherwind.operator.client
+
+import io.ktor.client.plugins.timeout
+import io.ktor.client.request.header
+import io.ktor.client.request.post
+import io.ktor.client.request.preparePost
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.contentType
+import io.ktor.http.isSuccess
+import io.ktor.utils.io.readLine
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.longOrNull
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.heatherwind.core.result.ResultCode
+import org.heatherwind.platform.HttpClients
+import java.io.IOException
+
+/** What a caller got. */
+public sealed interface CallerResult {
+    /** A whole answer with the tokens that it used. */
+    public data class Whole(val text: String, val tokens: Long) : CallerResult
+
+    /** A refusal or failure with a result code, or null when none was given. */
+    public data class Refused(val code: ResultCode?) : CallerResult
+
+    /** The answer ended before it was whole. */
+    public data class Cut(val text: String, val code: ResultCode?) : CallerResult
+}
+
+/** Calls routers as a customer's program does. */
+public class CallerClient : AutoCloseable {
+    private val client = HttpClients.create()
+
+    /** Sends a streamed chat completion; [onFirst] is called at the first piece, [onPiece] before each is read on. */
+    public suspend fun chat(
+        address: String,
+        key: String,
+        model: String,
+        prompt: String,
+        answerTokens: Int,
+        idempotencyKey: String? = null,
+        onPiece: suspend () -> Unit = {},
+        onFirst: () -> Unit = {},
+    ): CallerResult {
+        val text = StringBuilder()
+        return try {
+            val statement = client.preparePost("$address/v1/chat/completions") {
+                timeout { requestTimeoutMillis = Long.MAX_VALUE }
+                header(HttpHeaders.Authorization, "Bearer $key")
+                idempotencyKey?.let { header("Idempotency-Key", it) }
+                contentType(ContentType.Application.Json)
+                setBody(chatDocument(model, prompt, answerTokens))
+            }
+            statement.execute { read(it, text, onPiece, onFirst) }
+        } catch (_: IOException) {
+            if (text.isEmpty()) CallerResult.Refused(null) else CallerResult.Cut(text.toString(), null)
+        }
+    }
+
+    /** Calls a plain service; the result's text is the answer's body. */
+    public suspend fun order(address: String, key: String, path: String, body: String, idempotencyKey: String): CallerResult = try {
+        val response = client.post("$address$path") {
+            timeout { requestTimeoutMillis = ORDER_TIMEOUT_MILLISECONDS }
+            header(HttpHeaders.Authorization, "Bearer $key")
+            header("Idempotency-Key", idempotencyKey)
+            contentType(ContentType.Application.Json)
+            setBody(body)
+        }
+        if (response.status.isSuccess()) CallerResult.Whole(response.bodyAsText(), 0) else refusal(response)
+    } catch (_: IOException) {
+        CallerResult.Refused(null)
+    }
+
+    override fun close(): Unit = client.close()
+
+    private suspend fun read(
+        response: HttpResponse,
+        text: StringBuilder,
+        onPiece: suspend () -> Unit,
+        onFirst: () -> Unit,
+    ): CallerResult {
+        if (!response.status.isSuccess()) return refusal(response)
+        val channel = response.bodyAsChannel()
+        var tokens = 0L
+        var isFirst = true
+        while (true) {
+            val line = channel.readLine() ?: return CallerResult.Cut(text.toString(), null)
+            if (!line.startsWith(DATA)) continue
+            if (isFirst) onFirst()
+            isFirst = false
+            val data = line.removePrefix(DATA).trim()
+            if (data == END) return CallerResult.Whole(text.toString(), tokens)
+            val event = Json.parseToJsonElement(data) as JsonObject
+            event["error"]?.let { return CallerResult.Cut(text.toString(), codeOf(it as JsonObject)) }
+            text.append(contentOf(event))
+            tokens = tokensOf(event) ?: tokens
+            onPiece()
+        }
+    }
+
+    private suspend fun refusal(response: HttpResponse) =
+        CallerResult.Refused(response.headers["Heatherwind-Code"]?.toIntOrNull()?.let(ResultCode::ofNumber))
+
+    private fun codeOf(error: JsonObject): ResultCode? =
+        (error["code"] as? JsonPrimitive)?.longOrNull?.let { ResultCode.ofNumber(it.toInt()) }
+
+    private fun contentOf(event: JsonObject): String {
+        val choice = (event["choices"] as? JsonArray)?.firstOrNull() as? JsonObject
+        return ((choice?.get("delta") as? JsonObject)?.get("content") as? JsonPrimitive)?.contentOrNull.orEmpty()
+    }
+
+    private fun tokensOf(event: JsonObject): Long? {
+        val usage = event["usage"] as? JsonObject ?: return null
+        return usage.values.sumOf { (it as? JsonPrimitive)?.longOrNull ?: 0 }
+    }
+
+    private fun chatDocument(model: String, prompt: String, answerTokens: Int) = buildJsonObject {
+        put("model", model)
+        put("stream", true)
+        put("max_tokens", answerTokens)
+        putJsonArray("messages") {
+            addJsonObject {
+                put("role", "user")
+                put("content", prompt)
+            }
+        }
+    }.toString()
+
+    private companion object {
+        const val DATA = "data:"
+        const val END = "[DONE]"
+        const val ORDER_TIMEOUT_MILLISECONDS = 60_000L
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/heatherwind/operator/client/OperatorClient.kt
@@ -0,0 +1,103 @@
+package org.heatherwind.operator.client
+
+import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.get
+import io.ktor.client.request.header
+import io.ktor.client.request.parameter
+import io.ktor.client.request.post
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpHeaders
+import io.ktor.http.isSuccess
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.json.Json
+import org.heatherwind.platform.HttpClients
+import org.heatherwind.protocol.operations.BudgetMessage
+import org.heatherwind.protocol.operations.BudgetReport
+import org.heatherwind.protocol.operations.ConfigurationReport
+import org.heatherwind.protocol.operations.PublishMessage
+import org.heatherwind.protocol.operations.PublishReport
+import org.heatherwind.protocol.operations.StatusReport
+import org.heatherwind.protocol.operations.TopUpMessage
+import org.heatherwind.router.entry.RequestTrace
+import java.io.IOException
+
+/** A router did not answer, or refused. */
+public class RouterUnreachable(message: String) : Exception(message)
+
+/** Calls the operators' interface of the router at [address]. */
+public class OperatorClient(private val address: String, private val token: String) {
+    private val client = HttpClients.create()
+
+    /** The router's state. */
+    public suspend fun status(): StatusReport = read(StatusReport.serializer()) { client.get("$address/operator/status", it) }
+
+    /** The configuration in force. */
+    public suspend fun configuration(): ConfigurationReport =
+        read(ConfigurationReport.serializer()) { client.get("$address/operator/configuration", it) }
+
+    /** Publishes a configuration. */
+    public suspend fun publish(message: PublishMessage): PublishReport = read(PublishReport.serializer()) { request ->
+        client.post("$address/operator/configuration") {
+            request()
+            setBody(Json.encodeToString(message))
+        }
+    }
+
+    /** Creates a budget or adds a key to it. */
+    public suspend fun createBudget(message: BudgetMessage) {
+        ask { request ->
+            client.post("$address/operator/budgets") {
+                request()
+                setBody(Json.encodeToString(message))
+            }
+        }
+    }
+
+    /** Adds tokens to [budget]. */
+    public suspend fun topUp(budget: String, message: TopUpMessage) {
+        ask { request ->
+            client.post("$address/operator/budgets/$budget/top-up") {
+                request()
+                setBody(Json.encodeToString(message))
+            }
+        }
+    }
+
+    /** The state of [budget]. */
+    public suspend fun budget(budget: String): BudgetReport =
+        read(BudgetReport.serializer()) { client.get("$address/operator/budgets/$budget", it) }
+
+    /** What the router knows of [request], or null. */
+    public suspend fun trace(request: String): RequestTrace? = try {
+        read(RequestTrace.serializer()) { authorise ->
+            client.get("$address/operator/requests") {
+                authorise()
+                parameter("request", request)
+            }
+        }
+    } catch (_: RouterUnreachable) {
+        null
+    }
+
+    /** Begins the router's stop. */
+    public suspend fun drain() {
+        ask { client.post("$address/operator/drain", it) }
+    }
+
+    private suspend fun <T> read(
+        serializer: KSerializer<T>,
+        call: suspend (HttpRequestBuilder.() -> Unit) -> HttpResponse,
+    ): T = Json.decodeFromString(serializer, ask(call))
+
+    private suspend fun ask(call: suspend (HttpRequestBuilder.() -> Unit) -> HttpResponse): String {
+        val response = try {
+            call { header(HttpHeaders.Authorization, "Bearer $token") }
+        } catch (failure: IOException) {
+            throw RouterUnreachable("the router at $address does not answer: ${failure.message}")
+        }
+        if (response.status.isSuccess()) return response.bodyAsText()
+        throw RouterUnreachable("the router at $address answered ${response.status.value}: ${response.bodyAsText().trim()}")
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/heatherwind/operator/command/DemoCommand.kt
@@ -0,0 +1,36 @@
+package org.heatherwind.operator.command
+
+import kotlinx.serialization.json.Json
+import org.heatherwind.operator.demonstration.Demonstration
+import org.heatherwind.operator.demonstration.DemonstrationScenario
+import org.kohsuke.args4j.Option
+
+/** `heatherwind demo`: a whole fleet in one process, with a failure of choice. */
+internal class DemoCommand : Command {
+    override val summary = "run routers, stand-ins and callers in this process and check what must hold"
+
+    @Option(name = "--requests", metaVar = "NUMBER", usage = "requests to send, at most 20000")
+    var requests: Int = 1_000
+
+    @Option(name = "--seed", metaVar = "NUMBER", usage = "seed of the callers' choices")
+    var seed: Long = 1
+
+    @Option(name = "--scenario", metaVar = "NAME", usage = "steady, log-outage, lost-answers, partition or router-death")
+    var scenario: String = DemonstrationScenario.Steady.name
+
+    @Option(name = "--json", usage = "print the summary as JSON")
+    var isJson: Boolean = false
+
+    override suspend fun run(): ExitCode {
+        val chosen = DemonstrationScenario.all.firstOrNull { it.name == scenario }
+            ?: throw UsageFault("there is no scenario '$scenario'")
+        val demonstration = Demonstration(requests.coerceIn(1, MAXIMUM_REQUESTS), seed, chosen) { System.err.println(it) }
+        val result = demonstration.run()
+        println(if (isJson) Json.encodeToString(result) else result.toText())
+        return if (result.isSound) ExitCode.DONE else ExitCode.FAILED
+    }
+
+    private companion object {
+        const val MAXIMUM_REQUESTS = 20_000
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/heatherwind/operator/command/LoadCommand.kt
@@ -0,0 +1,46 @@
+package org.heatherwind.operator.command
+
+import org.heatherwind.operator.load.LoadGenerator
+import org.heatherwind.operator.load.LoadPlan
+import org.kohsuke.args4j.Option
+
+/** `heatherwind load`: sends chat completions at a fixed rate and prints the distribution of times. */
+internal class LoadCommand : Command {
+    override val summary = "send chat completions at a fixed rate, open loop"
+
+    @Option(name = "--address", metaVar = "ADDRESS", usage = "callers' address of a router, on loopback")
+    var address: String = "http://127.0.0.1:8080"
+
+    @Option(name = "--key", metaVar = "KEY", required = true, usage = "API key")
+    var key: String = ""
+
+    @Option(name = "--model", metaVar = "MODEL", usage = "model to ask")
+    var model: String = "glaze-1"
+
+    @Option(name = "--rate", metaVar = "NUMBER", usage = "requests a second, at most 2000")
+    var rate: Int = 50
+
+    @Option(name = "--requests", metaVar = "NUMBER", usage = "requests in all, at most 100000")
+    var requests: Int = 500
+
+    @Option(name = "--json", usage = "print JSON")
+    var isJson: Boolean = false
+
+    override suspend fun run(): ExitCode {
+        val plan = LoadPlan(
+            address = address,
+            key = key,
+            model = model,
+            requestsPerSecond = rate.coerceIn(1, MAXIMUM_RATE),
+            requests = requests.coerceIn(1, MAXIMUM_REQUESTS),
+        )
+        val result = LoadGenerator(plan).run()
+        println(if (isJson) result.toJson() else result.toText())
+        return if (result.failed == 0L) ExitCode.DONE else ExitCode.FAILED
+    }
+
+    private companion object {
+        const val MAXIMUM_RATE = 2_000
+        const val MAXIMUM_REQUESTS = 100_000
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/heatherwind/operator/command/RouterOptions.kt
@@ -0,0 +1,25 @@
+package org.heatherwind.operator.command
+
+import org.heatherwind.operator.client.OperatorClient
+import org.kohsuke.args4j.Option
+
+/** Options of every verb that talks to routers. */
+internal abstract class RouterOptions : Command {
+    @Option(name = "--router", metaVar = "ADDRESS", usage = "operators' address of a router (repeat for more)")
+    var routers: List<String> = mutableListOf()
+
+    @Option(name = "--token", metaVar = "TOKEN", usage = "operator's token (default: HEATHERWIND_TOKEN)")
+    var token: String = System.getenv("HEATHERWIND_TOKEN").orEmpty()
+
+    @Option(name = "--json", usage = "print JSON")
+    var isJson: Boolean = false
+
+    protected fun clients(): List<OperatorClient> =
+        routers.ifEmpty { listOf(DEFAULT_ADDRESS) }.map { OperatorClient(it, token) }
+
+    protected fun client(): OperatorClient = clients().first()
+
+    private companion object {
+        const val DEFAULT_ADDRESS = "http://127.0.0.1:8082"
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/heatherwind/operator/command/StatusCommand.kt
@@ -0,0 +1,34 @@
+package org.heatherwind.operator.command
+
+import kotlinx.serialization.json.Json
+import org.heatherwind.protocol.operations.StatusReport
+
+/** `heatherwind status`: what the named routers do. */
+internal class StatusCommand : RouterOptions() {
+    override val summary = "show what routers do"
+
+    override suspend fun run(): ExitCode {
+        val reports = clients().map { it.status() }
+        if (isJson) println(Json.encodeToString(reports)) else reports.forEach { print(it) }
+        return ExitCode.DONE
+    }
+
+    private fun print(report: StatusReport) {
+        val condition = when {
+            report.isDraining -> "stopping"
+            report.isReady -> "ready"
+            else -> "not ready"
+        }
+        println("${report.instance} ($condition), configuration ${report.configurationVersion}")
+        println("  ${report.requestsInProgress} requests in progress, ${report.settlementsWaiting} settlements without a home")
+        println("  sees routers ${report.routers.joinToString()}")
+        report.shards.forEach { shard ->
+            val log = if (shard.isLogFailing) ", log out" else ""
+            println(
+                "  shard ${shard.shard} through offset ${shard.through}: ${shard.budgets} budgets, " +
+                    "${shard.openRequests} open requests, ${shard.unconfirmedRecords} records unconfirmed$log",
+            )
+            shard.quarantinedHolders.forEach { println("    quarantined: $it") }
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/heatherwind/operator/demonstration/LocalFleet.kt
@@ -0,0 +1,108 @@
+package org.heatherwind.operator.demonstration
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeout
+import org.heatherwind.core.identity.DataCentreId
+import org.heatherwind.core.identity.InstanceId
+import org.heatherwind.operator.client.OperatorClient
+import org.heatherwind.platform.instances.ListedInstance
+import org.heatherwind.protocol.document.ConfigurationDocument
+import org.heatherwind.protocol.operations.BudgetMessage
+import org.heatherwind.protocol.operations.PublishMessage
+import org.heatherwind.protocol.operations.TopUpMessage
+import org.heatherwind.router.RouterProcess
+import org.heatherwind.router.entry.RequestIdentity
+import org.heatherwind.router.settings.ListenerSettings
+import org.heatherwind.router.settings.RouterSettings
+
+/** A router of a local fleet, with its own way to the log, which can be cut. */
+public class LocalRouter(
+    /** Its name. */
+    public val instance: InstanceId,
+    /** The running router. */
+    public val process: RouterProcess,
+    /** Its way to the log. */
+    public val log: CuttableLog,
+) {
+    /** Where callers reach it. */
+    public val callerAddress: String get() = "http://127.0.0.1:${process.callerPort}"
+
+    /** Where operators reach it. */
+    public val operatorAddress: String get() = "http://127.0.0.1:${process.operatorPort}"
+}
+
+/** Routers in this process over stand-ins, as a fleet of its own. */
+public class LocalFleet(
+    /** What stands around the routers. */
+    public val platform: LocalPlatform,
+) : AutoCloseable {
+    private val started = mutableListOf<LocalRouter>()
+
+    /** The routers that were started and not killed. */
+    public val routers: List<LocalRouter> get() = started.toList()
+
+    /** Starts a router named [name] in [dataCentre]. */
+    public suspend fun startRouter(name: String, dataCentre: DataCentreId = LocalPlatform.DATA_CENTRE): LocalRouter {
+        val log = CuttableLog(platform.log)
+        val process = RouterProcess(settingsOf(name, dataCentre), log = log, instanceList = platform.instances)
+        process.start()
+        val instance = InstanceId(name)
+        platform.instances.put(ListedInstance(instance, "127.0.0.1:${process.peerPort}", dataCentre))
+        return LocalRouter(instance, process, log).also { started += it }
+    }
+
+    /** Publishes the platform's configuration and waits until every router is ready. */
+    public suspend fun configure() {
+        val document = ConfigurationDocument.write(platform.configuration())
+        operator().publish(PublishMessage(base = 0, publisher = "demo", changeKey = "demo", document = document))
+        awaitReady()
+    }
+
+    /** Waits until every router is ready and has the configuration. */
+    public suspend fun awaitReady() {
+        withTimeout(READY_MILLISECONDS) {
+            while (!started.all { it.process.isReady && it.process.configurationVersion > 0 }) delay(POLL_MILLISECONDS)
+        }
+    }
+
+    /** Creates a budget with [tokens] and returns its API key. */
+    public suspend fun createBudget(budget: String, tokens: Long): String {
+        val key = "$budget.demo-secret"
+        operator().createBudget(BudgetMessage(budget, "customer-of-$budget", RequestIdentity.digestOf(key).hexadecimal))
+        operator().topUp(budget, TopUpMessage(tokens, topUpKey = "first"))
+        return key
+    }
+
+    /** Ends [router] without warning, and takes it off the instance list. */
+    public fun kill(router: LocalRouter) {
+        router.process.kill()
+        started -= router
+        platform.instances.remove(router.instance)
+    }
+
+    /** A client of the operators' interface of the first router. */
+    public fun operator(): OperatorClient = OperatorClient(started.first().operatorAddress, OPERATOR_TOKEN)
+
+    override fun close() {
+        started.forEach { it.process.kill() }
+        platform.close()
+    }
+
+    private fun settingsOf(name: String, dataCentre: DataCentreId) = RouterSettings(
+        instance = InstanceId(name),
+        dataCentre = dataCentre,
+        callers = ListenerSettings(port = 0),
+        peers = ListenerSettings(port = 0),
+        operators = ListenerSettings(port = 0),
+        logService = platform.address,
+        instanceList = platform.address,
+        peerToken = "demo-peer-token",
+        operatorTokenDigest = RequestIdentity.digestOf(OPERATOR_TOKEN),
+    )
+
+    private companion object {
+        const val OPERATOR_TOKEN = "demo-operator-token"
+        const val READY_MILLISECONDS = 20_000L
+        const val POLL_MILLISECONDS = 20L
+    }
+}
--- a/protocol/src/main/kotlin/org/heatherwind/protocol/record/RecordCodec.kt
+++ b/protocol/src/main/kotlin/org/heatherwind/protocol/record/RecordCodec.kt
@@ -7,7 +7,7 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.protobuf.ProtoBuf
-import org.heatherwind.core.configuration.ConfigurationPublished
+import org.heatherwind.core.configuration.ConfigurationRecord
 import org.heatherwind.core.configuration.ConfigurationVersion
 import org.heatherwind.core.ledger.LedgerBatch
 import org.heatherwind.core.ledger.LedgerSnapshot
@@ -70,9 +70,9 @@
         /** A ledger shard's state. */
         public val ledgerSnapshot: RecordCodec<LedgerSnapshot> = RecordCodec(LedgerSnapshot.serializer())
 
-        /** Changes in the configuration stream. */
-        public val configurationChange: RecordCodec<ConfigurationPublished> =
-            RecordCodec(ConfigurationPublished.serializer())
+        /** Records of the configuration stream. */
+        public val configurationRecord: RecordCodec<ConfigurationRecord> =
+            RecordCodec(ConfigurationRecord.serializer())
 
         /** An accepted configuration, as peers pass it on. */
         public val configurationVersion: RecordCodec<ConfigurationVersion> =
--- /dev/null
+++ b/router/src/main/kotlin/org/heatherwind/router/RouterListeners.kt
@@ -0,0 +1,66 @@
+package org.heatherwind.router
+
+import io.grpc.Server
+import io.grpc.netty.NettyServerBuilder
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.netty.Netty
+import io.ktor.server.netty.NettyApplicationEngine
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.routing
+import org.heatherwind.router.peer.HomeService
+import org.heatherwind.router.peer.PeerTokens
+import org.heatherwind.router.settings.ListenerSettings
+import org.heatherwind.router.settings.RouterSettings
+import java.net.InetSocketAddress
+import java.util.concurrent.TimeUnit
+
+private typealias HttpServer = EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration>
+
+/** The three listeners of a router: callers and operators by HTTP, peers by gRPC. */
+internal class RouterListeners(private val settings: RouterSettings) : AutoCloseable {
+    private var peers: Server? = null
+    private var callers: HttpServer? = null
+    private var operators: HttpServer? = null
+
+    var callerPort: Int = settings.callers.port
+        private set
+    var operatorPort: Int = settings.operators.port
+        private set
+    val peerPort: Int get() = peers?.port ?: settings.peers.port
+
+    fun startPeers(service: HomeService) {
+        peers = NettyServerBuilder.forAddress(InetSocketAddress(settings.peers.host, settings.peers.port))
+            .addService(service)
+            .intercept(PeerTokens(settings.peerToken))
+            .permitKeepAliveTime(PERMITTED_KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
+            .build()
+            .start()
+    }
+
+    suspend fun startCallers(routes: Routing.() -> Unit) {
+        callers = startHttp(settings.callers, routes).also { callerPort = portOf(it) }
+    }
+
+    suspend fun startOperators(routes: Routing.() -> Unit) {
+        operators = startHttp(settings.operators, routes).also { operatorPort = portOf(it) }
+    }
+
+    override fun close() {
+        peers?.shutdownNow()
+        listOfNotNull(callers, operators).forEach { it.stop(gracePeriodMillis = 0, timeoutMillis = STOP_MILLISECONDS) }
+    }
+
+    private suspend fun startHttp(listener: ListenerSettings, routes: Routing.() -> Unit): HttpServer {
+        val server = embeddedServer(Netty, port = listener.port, host = listener.host) { routing(routes) }
+        server.startSuspend(wait = false)
+        return server
+    }
+
+    private suspend fun portOf(server: HttpServer): Int = server.engine.resolvedConnectors().first().port
+
+    private companion object {
+        const val PERMITTED_KEEP_ALIVE_SECONDS = 5L
+        const val STOP_MILLISECONDS = 100L
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/heatherwind/router/entry/EntryContext.kt
@@ -0,0 +1,38 @@
+package org.heatherwind.router.entry
+
+import org.heatherwind.core.configuration.ConfigurationRules
+import org.heatherwind.core.configuration.EngineService
+import org.heatherwind.core.configuration.FleetConfiguration
+import org.heatherwind.core.configuration.PlainService
+import org.heatherwind.core.configuration.ServiceSettings
+import org.heatherwind.core.identity.Clock
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.ServiceId
+import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.router.peer.HomeClient
+import org.heatherwind.router.telemetry.RouterMetrics
+
+/** What the handlers of callers' requests share. */
+internal class EntryContext(
+    val entry: Incarnation,
+    val identity: RequestIdentity,
+    val homes: HomeClient,
+    val settlements: SettlementKeeper,
+    val slots: SlotKeeper,
+    val metrics: RouterMetrics,
+    val traces: RequestTraces,
+    val clock: Clock,
+    val maximumBodyBytes: Int,
+    private val configuration: () -> FleetConfiguration,
+) {
+    fun engineServiceOf(model: String): EngineService? =
+        configuration().services.filterIsInstance<EngineService>().firstOrNull { model in it.models }
+
+    fun plainServiceAt(path: String): PlainService? =
+        configuration().services.filterIsInstance<PlainService>().firstOrNull { it.path == path }
+
+    fun modelNames(): List<String> = configuration().services.filterIsInstance<EngineService>().flatMap { it.models }
+
+    fun settingsOf(service: ServiceId, now: Timestamp): ServiceSettings =
+        ConfigurationRules.settingsOf(configuration(), service, now)
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/heatherwind/router/entry/SettlementKeeper.kt
@@ -0,0 +1,46 @@
+package org.heatherwind.router.entry
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+import org.heatherwind.core.home.HomeEvent
+import org.heatherwind.router.peer.HomeClient
+import java.util.concurrent.atomic.AtomicInteger
+
+private val logger = KotlinLogging.logger("settlement")
+
+/** Brings settlements to a home, and keeps those that no home took until one does. */
+internal class SettlementKeeper(private val homes: HomeClient) {
+    private val queue = Channel<HomeEvent.Settle>(Channel.UNLIMITED)
+    private val kept = AtomicInteger()
+
+    /** Settlements that no home has taken yet. */
+    val waiting: Int get() = kept.get()
+
+    /** Settles now if a home can be reached, and later otherwise; also when the caller's coroutine is cancelled. */
+    suspend fun settle(event: HomeEvent.Settle) {
+        withContext(NonCancellable) {
+            if (homes.settle(event) == null) keep(event)
+        }
+    }
+
+    /** Retries what is kept, until cancelled. */
+    suspend fun run() {
+        for (event in queue) {
+            while (homes.settle(event) == null) delay(RETRY_MILLISECONDS)
+            kept.decrementAndGet()
+        }
+    }
+
+    private fun keep(event: HomeEvent.Settle) {
+        logger.warn { "settlement: no home takes the settlement of ${event.request}; it is kept" }
+        kept.incrementAndGet()
+        queue.trySend(event)
+    }
+
+    private companion object {
+        const val RETRY_MILLISECONDS = 500L
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/heatherwind/router/operator/OperatorServer.kt
@@ -0,0 +1,133 @@
+package org.heatherwind.router.operator
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.heatherwind.core.identity.BudgetId
+import org.heatherwind.core.identity.Digest
+import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.result.ResultCode
+import org.heatherwind.protocol.operations.BudgetMessage
+import org.heatherwind.protocol.operations.BudgetReport
+import org.heatherwind.protocol.operations.ConfigurationReport
+import org.heatherwind.protocol.operations.PublishMessage
+import org.heatherwind.protocol.operations.PublishReport
+import org.heatherwind.protocol.operations.StatusReport
+import org.heatherwind.protocol.operations.TopUpMessage
+import org.heatherwind.router.entry.EntryError
+import org.heatherwind.router.entry.RequestIdentity
+import org.heatherwind.router.entry.RequestTrace
+import org.heatherwind.router.entry.RequestTraces
+import java.security.MessageDigest
+
+/** The operators' interface. All but health, readiness and metrics needs the operator's token. */
+internal class OperatorServer(
+    private val tokenDigest: Digest,
+    private val budgets: BudgetOperations,
+    private val configurations: ConfigurationOperations,
+    private val traces: RequestTraces,
+    private val status: () -> StatusReport,
+    private val renderMetrics: () -> String,
+    private val startDrain: () -> Unit,
+) {
+    fun routes(routing: Routing) {
+        routing.get("/health") { call.respondText("live\n") }
+        routing.get("/ready") { respondReady(call) }
+        routing.get("/metrics") { call.respondText(renderMetrics(), ContentType.Text.Plain) }
+        routing.get("/operator/status") { authorised(call) { send(call, StatusReport.serializer(), status()) } }
+        routing.post("/operator/drain") {
+            authorised(call) {
+                startDrain()
+                call.respondText("draining\n")
+            }
+        }
+        routing.get("/operator/requests") { authorised(call) { respondTrace(call) } }
+        budgetRoutes(routing)
+        configurationRoutes(routing)
+    }
+
+    private fun budgetRoutes(routing: Routing) {
+        routing.post("/operator/budgets") {
+            authorised(call) {
+                read(call, BudgetMessage.serializer())?.let { call.respondApplied(budgets.create(it)) }
+            }
+        }
+        routing.post("/operator/budgets/{budget}/top-up") {
+            authorised(call) {
+                read(call, TopUpMessage.serializer())?.let { respondTopUp(call, it) }
+            }
+        }
+        routing.get("/operator/budgets/{budget}") {
+            authorised(call) {
+                val report = budgets.report(call.budget())
+                if (report == null) call.respondText("no such budget\n", status = HttpStatusCode.NotFound)
+                else send(call, BudgetReport.serializer(), report)
+            }
+        }
+    }
+
+    private fun configurationRoutes(routing: Routing) {
+        routing.get("/operator/configuration") {
+            authorised(call) {
+                send(call, ConfigurationReport.serializer(), configurations.report())
+            }
+        }
+        routing.post("/operator/configuration") {
+            authorised(call) {
+                read(call, PublishMessage.serializer())?.let {
+                    val report = configurations.publish(it)
+                    send(call, PublishReport.serializer(), report)
+                }
+            }
+        }
+    }
+
+    private suspend fun respondTopUp(call: ApplicationCall, message: TopUpMessage) {
+        if (message.tokens <= 0) return EntryError.respond(call, ResultCode.TOKEN_COUNT_OUT_OF_RANGE)
+        call.respondApplied(budgets.topUp(call.budget(), message))
+    }
+
+    private suspend fun respondReady(call: ApplicationCall) {
+        val isReady = status().isReady
+        val code = if (isReady) HttpStatusCode.OK else HttpStatusCode.ServiceUnavailable
+        call.respondText(if (isReady) "ready\n" else "not ready\n", status = code)
+    }
+
+    private suspend fun respondTrace(call: ApplicationCall) {
+        val trace = traces.of(RequestKey(call.request.queryParameters["request"].orEmpty()))
+        if (trace == null) call.respondText("not known here\n", status = HttpStatusCode.NotFound)
+        else send(call, RequestTrace.serializer(), trace)
+    }
+
+    private suspend fun authorised(call: ApplicationCall, handle: suspend () -> Unit) {
+        val shown = call.request.header(HttpHeaders.Authorization).orEmpty().removePrefix("Bearer ").trim()
+        val digest = RequestIdentity.digestOf(shown).hexadecimal
+        val isAuthorised = MessageDigest.isEqual(digest.toByteArray(), tokenDigest.hexadecimal.toByteArray())
+        if (isAuthorised) handle() else EntryError.respond(call, ResultCode.OPERATION_NOT_AUTHORISED)
+    }
+
+    private suspend fun <T : Any> read(call: ApplicationCall, serializer: KSerializer<T>): T? = try {
+        Json.decodeFromString(serializer, call.receiveText())
+    } catch (_: SerializationException) {
+        EntryError.respond(call, ResultCode.MALFORMED_REQUEST)
+        null
+    }
+
+    private suspend fun <T> send(call: ApplicationCall, serializer: KSerializer<T>, value: T) =
+        call.respondText(Json.encodeToString(serializer, value), ContentType.Application.Json)
+
+    private suspend fun ApplicationCall.respondApplied(isApplied: Boolean) =
+        if (isApplied) respondText("applied\n") else EntryError.respond(this, ResultCode.LOG_UNAVAILABLE)
+
+    private fun ApplicationCall.budget() = BudgetId(parameters["budget"].orEmpty())
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
@@ -0,0 +1,105 @@
+package org.heatherwind.router.peer
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.grpc.Status
+import io.grpc.StatusException
+import org.heatherwind.core.home.HomeEvent
+import org.heatherwind.core.home.ReserveAnswer
+import org.heatherwind.core.identity.Clock
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.ledger.SettlementOutcome
+import org.heatherwind.core.result.ResultCode
+import org.heatherwind.core.routing.Rendezvous
+import org.heatherwind.platform.instances.ListedInstance
+import org.heatherwind.protocol.peer.HomeGrpcKt
+import org.heatherwind.router.shard.ShardRunners
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger("home-client")
+
+/** Reserves and settles at the home of a budget, and at the next in order when a home does not answer. */
+internal class HomeClient(
+    private val shards: ShardRunners,
+    private val shardCount: Int,
+    private val membership: Membership,
+    private val connections: PeerConnections,
+    private val abandoned: AbandonedReservations,
+    private val clock: Clock,
+) {
+    /** Reserves tokens for a request at the first home that answers. */
+    suspend fun reserve(event: HomeEvent.Reserve): ReserveAnswer {
+        val shard = Rendezvous.shardOf(event.budget, shardCount)
+        for (home in membership.homesOf(shard).take(TRIED_HOMES)) {
+            val answer = if (membership.isSelf(home.instance)) {
+                shards.of(shard).reserve(event)
+            } else {
+                reserveRemotely(home, shard, event)
+            }
+            if (answer != null && !isClosedHome(answer)) return answer
+        }
+        return ReserveAnswer.Refused(ResultCode.HOME_UNREACHABLE)
+    }
+
+    /**
+     * Settles a request at the holder that reserved for it, or at another home when that one is gone. True when the
+     * settlement is in the log, false when it waits in a home's queue, null when no home took it.
+     */
+    suspend fun settle(event: HomeEvent.Settle): Boolean? {
+        val shard = Rendezvous.shardOf(event.budget, shardCount)
+        for (home in settlementHomes(shard, event.holder)) {
+            val isRecorded = if (membership.isSelf(home.instance)) {
+                shards.of(shard).settle(event)
+            } else {
+                settleRemotely(home, shard, event)
+            }
+            if (isRecorded != null) return isRecorded
+        }
+        return null
+    }
+
+    private fun isClosedHome(answer: ReserveAnswer): Boolean =
+        answer is ReserveAnswer.Refused &&
+            (answer.code == ResultCode.ROUTER_DRAINING || answer.code == ResultCode.ROUTER_NOT_READY)
+
+    private fun settlementHomes(shard: Int, holder: Incarnation): List<ListedInstance> {
+        val homes = membership.homesOf(shard)
+        return (homes.filter { it.instance == holder.instance } + homes).distinct().take(TRIED_HOMES)
+    }
+
+    private suspend fun reserveRemotely(home: ListedInstance, shard: Int, event: HomeEvent.Reserve): ReserveAnswer? {
+        val wait = event.waitUntil.millisecondsSince(clock.now()).coerceAtLeast(1) + ANSWER_MARGIN_MILLISECONDS
+        val answer = calling(home, wait) { it.reserve(event.toMessage(shard)).toAnswer() }
+        if (answer == null) abandoned.add(AbandonedReservation(home, shard, releaseOf(event)))
+        return answer
+    }
+
+    private suspend fun settleRemotely(home: ListedInstance, shard: Int, event: HomeEvent.Settle): Boolean? =
+        calling(home, SETTLE_MILLISECONDS) { it.settle(event.toMessage(shard)).recorded }
+
+    private fun releaseOf(event: HomeEvent.Reserve) = HomeEvent.Settle(
+        request = event.request,
+        budget = event.budget,
+        holder = Incarnation(""),
+        charged = 0,
+        outcome = SettlementOutcome.NOT_RUN,
+    )
+
+    private suspend fun <T> calling(
+        home: ListedInstance,
+        milliseconds: Long,
+        call: suspend (HomeGrpcKt.HomeCoroutineStub) -> T,
+    ): T? = try {
+        call(connections.at(home.peerAddress).withDeadlineAfter(milliseconds, TimeUnit.MILLISECONDS))
+    } catch (failure: StatusException) {
+        if (failure.status.code != Status.Code.DEADLINE_EXCEEDED) {
+            logger.debug { "home-client: ${home.instance} does not answer: ${failure.status}" }
+        }
+        null
+    }
+
+    private companion object {
+        const val TRIED_HOMES = 3
+        const val ANSWER_MARGIN_MILLISECONDS = 200L
+        const val SETTLE_MILLISECONDS = 2_000L
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/PeerMessages.kt
@@ -0,0 +1,106 @@
+package org.heatherwind.router.peer
+
+import org.heatherwind.core.home.AttemptClaim
+import org.heatherwind.core.home.AttemptEnd
+import org.heatherwind.core.home.HomeEvent
+import org.heatherwind.core.home.ReserveAnswer
+import org.heatherwind.core.identity.AttemptKey
+import org.heatherwind.core.identity.BudgetId
+import org.heatherwind.core.identity.Digest
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.core.ledger.AttemptOutcome
+import org.heatherwind.core.ledger.SettlementOutcome
+import org.heatherwind.core.result.ResultCode
+import org.heatherwind.protocol.peer.Claim
+import org.heatherwind.protocol.peer.RecordedAnswer
+import org.heatherwind.protocol.peer.ReserveReply
+import org.heatherwind.protocol.peer.ReserveRequest
+import org.heatherwind.protocol.peer.SettleRequest
+import org.heatherwind.protocol.peer.AttemptEnd as AttemptEndMessage
+
+private const val RESERVED_CODE = 0
+
+internal fun HomeEvent.Reserve.toMessage(shard: Int): ReserveRequest {
+    val builder = ReserveRequest.newBuilder()
+        .setShard(shard)
+        .setRequest(request.value)
+        .setBudget(budget.value)
+        .setKeyDigest(keyDigest.hexadecimal)
+        .setTokens(tokens)
+        .setEntry(entry.value)
+        .setWaitUntil(waitUntil.epochMilliseconds)
+        .setDeadline(deadline.epochMilliseconds)
+    claim?.let {
+        builder.setClaim(Claim.newBuilder().setAttempt(it.attempt.value).setFingerprint(it.fingerprint.hexadecimal))
+    }
+    return builder.build()
+}
+
+internal fun ReserveRequest.toEvent(): HomeEvent.Reserve = HomeEvent.Reserve(
+    request = RequestKey(request),
+    budget = BudgetId(budget),
+    keyDigest = Digest(keyDigest),
+    tokens = tokens,
+    entry = Incarnation(entry),
+    waitUntil = Timestamp(waitUntil),
+    deadline = Timestamp(deadline),
+    claim = if (hasClaim()) AttemptClaim(AttemptKey(claim.attempt), Digest(claim.fingerprint)) else null,
+)
+
+internal fun ReserveAnswer.toMessage(): ReserveReply = when (this) {
+    is ReserveAnswer.Reserved -> ReserveReply.newBuilder().setCode(RESERVED_CODE).setHolder(holder.value)
+    is ReserveAnswer.Refused -> ReserveReply.newBuilder().setCode(code.number)
+    is ReserveAnswer.Recorded -> ReserveReply.newBuilder().setCode(ResultCode.REPLAYED_OUTCOME.number).also { builder ->
+        (outcome as? AttemptOutcome.Answered)?.let { builder.setRecorded(it.toMessage()) }
+    }
+}.build()
+
+internal fun ReserveReply.toAnswer(): ReserveAnswer = when (code) {
+    RESERVED_CODE -> ReserveAnswer.Reserved(Incarnation(holder))
+    ResultCode.REPLAYED_OUTCOME.number -> ReserveAnswer.Recorded(AttemptOutcome.Answered(recorded.status, recorded.body))
+    else -> ReserveAnswer.Refused(ResultCode.ofNumber(code) ?: ResultCode.HOME_UNREACHABLE)
+}
+
+internal fun HomeEvent.Settle.toMessage(shard: Int): SettleRequest {
+    val builder = SettleRequest.newBuilder()
+        .setShard(shard)
+        .setRequest(request.value)
+        .setBudget(budget.value)
+        .setHolder(holder.value)
+        .setCharged(charged)
+        .setOutcome(outcome.ordinal)
+    attemptEnd?.let { builder.setAttemptEnd(it.toMessage()) }
+    return builder.build()
+}
+
+internal fun SettleRequest.toEvent(): HomeEvent.Settle = HomeEvent.Settle(
+    request = RequestKey(request),
+    budget = BudgetId(budget),
+    holder = Incarnation(holder),
+    charged = charged,
+    outcome = SettlementOutcome.entries.getOrElse(outcome) { SettlementOutcome.INTERRUPTED },
+    attemptEnd = if (hasAttemptEnd()) attemptEnd.toEnd() else null,
+)
+
+private fun AttemptOutcome.Answered.toMessage() = RecordedAnswer.newBuilder().setStatus(status).setBody(body)
+
+private fun AttemptEnd.toMessage(): AttemptEndMessage {
+    val builder = AttemptEndMessage.newBuilder().setAttempt(attempt.value)
+    when (val end = outcome) {
+        is AttemptOutcome.Answered -> builder.setAnswered(end.toMessage())
+        AttemptOutcome.NotRun -> builder.setNotRun(true)
+        AttemptOutcome.Unknown -> Unit
+    }
+    return builder.build()
+}
+
+private fun AttemptEndMessage.toEnd(): AttemptEnd {
+    val outcome = when {
+        hasAnswered() -> AttemptOutcome.Answered(answered.status, answered.body)
+        notRun -> AttemptOutcome.NotRun
+        else -> AttemptOutcome.Unknown
+    }
+    return AttemptEnd(AttemptKey(attempt), outcome)
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardMessage.kt
@@ -0,0 +1,24 @@
+package org.heatherwind.router.shard
+
+import kotlinx.coroutines.CompletableDeferred
+import org.heatherwind.core.home.HomeEvent
+import org.heatherwind.core.home.ReserveAnswer
+import org.heatherwind.core.ledger.LedgerState
+
+/** What is sent to the coroutine that owns a shard's state. */
+internal sealed interface ShardMessage {
+    /** A state was loaded from the log or a peer. */
+    data class Loaded(val ledger: LedgerState) : ShardMessage
+
+    /** An entry waits for a reservation. */
+    data class Reserving(val event: HomeEvent.Reserve, val answer: CompletableDeferred<ReserveAnswer>) : ShardMessage
+
+    /** An entry waits for its settlement to be kept. */
+    data class Settling(val event: HomeEvent.Settle, val answer: CompletableDeferred<Boolean>) : ShardMessage
+
+    /** An event for which nobody waits. */
+    data class Happened(val event: HomeEvent) : ShardMessage
+
+    /** An append failed. */
+    data object AppendFailed : ShardMessage
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardReader.kt
@@ -0,0 +1,82 @@
+package org.heatherwind.router.shard
+
+import arrow.core.Either
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import org.heatherwind.core.ledger.LedgerBatch
+import org.heatherwind.core.ledger.LedgerSnapshot
+import org.heatherwind.core.ledger.LedgerState
+import org.heatherwind.core.ledger.SnapshotTaken
+import org.heatherwind.platform.log.LogEntry
+import org.heatherwind.platform.log.LogFailure
+import org.heatherwind.platform.log.LogService
+import org.heatherwind.protocol.record.RecordCodec
+
+private val logger = KotlinLogging.logger("reader")
+
+/** Reads one ledger stream, from a state that is never made up: the stream's start, a snapshot, or a peer's copy. */
+internal class ShardReader(
+    private val stream: String,
+    private val log: LogService,
+    private val fetchFromPeer: suspend () -> LedgerSnapshot?,
+) {
+    /** The state with which to begin, once the log or a peer gives one. */
+    suspend fun loadInitialState(): LedgerState {
+        while (true) {
+            val state = loadFromLog() ?: fetchFromPeer()?.toState()
+            if (state != null) return state
+            delay(RETRY_MILLISECONDS)
+        }
+    }
+
+    /** Follows the stream after [through]; ends when the next offset is no longer kept. */
+    suspend fun follow(through: Long, onBatch: suspend (offset: Long, batch: LedgerBatch) -> Unit) {
+        var next = through + 1
+        while (true) {
+            when (val page = log.read(stream, next, PAGE_RECORDS, WAIT_MILLISECONDS)) {
+                is Either.Right -> page.value.records.forEach { entry ->
+                    decode(entry)?.let { onBatch(entry.offset, it) }
+                    next = entry.offset + 1
+                }
+                is Either.Left -> when (page.value) {
+                    is LogFailure.OffsetGone -> return
+                    is LogFailure.Unavailable -> delay(RETRY_MILLISECONDS)
+                }
+            }
+        }
+    }
+
+    private suspend fun loadFromLog(): LedgerState? = when (val page = log.read(stream, 0, 1, 0)) {
+        is Either.Right -> LedgerState()
+        is Either.Left -> when (val failure = page.value) {
+            is LogFailure.OffsetGone -> newestSnapshot(failure.oldest)
+            is LogFailure.Unavailable -> null
+        }
+    }
+
+    private suspend fun newestSnapshot(oldest: Long): LedgerState? {
+        var next = oldest
+        var newest: LedgerSnapshot? = null
+        while (true) {
+            val page = log.read(stream, next, PAGE_RECORDS, 0)
+            if (page !is Either.Right) return null
+            page.value.records.mapNotNull { decode(it) }.flatMap { it.records }
+                .filterIsInstance<SnapshotTaken>()
+                .filter { it.snapshot.through >= oldest - 1 }
+                .forEach { newest = it.snapshot }
+            next = page.value.records.lastOrNull()?.let { it.offset + 1 } ?: return newest?.toState()
+        }
+    }
+
+    private fun decode(entry: LogEntry): LedgerBatch? =
+        RecordCodec.ledgerBatch.decode(entry.record).fold({ error ->
+            logger.error { "reader: record ${entry.offset} of $stream is unreadable and skipped: $error" }
+            null
+        }, { it })
+
+    private companion object {
+        const val PAGE_RECORDS = 1_000
+        const val WAIT_MILLISECONDS = 10_000L
+        const val RETRY_MILLISECONDS = 100L
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
@@ -0,0 +1,192 @@
+package org.heatherwind.router.shard
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.heatherwind.core.home.Home
+import org.heatherwind.core.home.HomeEffect
+import org.heatherwind.core.home.HomeEvent
+import org.heatherwind.core.home.HomeSettings
+import org.heatherwind.core.home.HomeState
+import org.heatherwind.core.home.ReserveAnswer
+import org.heatherwind.core.identity.Clock
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.ledger.LedgerRecord
+import org.heatherwind.core.ledger.LedgerSnapshot
+import org.heatherwind.core.ledger.LedgerState
+import org.heatherwind.core.ledger.OpenKey
+import org.heatherwind.core.ledger.SnapshotTaken
+import org.heatherwind.core.ledger.toSnapshot
+import org.heatherwind.core.result.ResultCode
+import org.heatherwind.platform.log.LogService
+
+private val logger = KotlinLogging.logger("shard")
+
+/**
+ * Runs the home's decisions for one ledger shard: one coroutine owns the state, and readers, appenders, entries and
+ * timers send it events.
+ */
+public class ShardRunner(
+    private val shard: Int,
+    private val holder: Incarnation,
+    log: LogService,
+    private val clock: Clock,
+    batchIntervalMilliseconds: Long,
+    fetchFromPeer: suspend () -> LedgerSnapshot?,
+    settings: HomeSettings = HomeSettings(),
+) {
+    private val stream = ShardStreams.ledger(shard)
+    private val home = Home(settings)
+    private val inbox = Channel<ShardMessage>(INBOX_CAPACITY)
+    private val appender = ShardAppender(holder, stream, log, batchIntervalMilliseconds)
+    private val reader = ShardReader(stream, log, fetchFromPeer)
+    private val reserving = HashMap<RequestKey, CompletableDeferred<ReserveAnswer>>()
+    private val settling = HashMap<OpenKey, MutableList<CompletableDeferred<Boolean>>>()
+    private val loaded = CompletableDeferred<Unit>()
+
+    /** The state after the last event, or null until one was loaded. */
+    @Volatile
+    public var state: HomeState? = null
+        private set
+
+    /** Whether the log service takes no appends at present. */
+    public val isLogFailing: Boolean get() = appender.isFailing
+
+    /** Records that are not known to be in the log. */
+    public val unconfirmedRecords: Int get() = appender.waiting
+
+    /** Starts to follow the shard in [scope]. */
+    public fun start(scope: CoroutineScope) {
+        scope.launch { follow() }
+        scope.launch { appender.run { inbox.send(ShardMessage.AppendFailed) } }
+        scope.launch { handleMessages() }
+        scope.launch { tick() }
+    }
+
+    /** Waits until a state was loaded. */
+    public suspend fun awaitLoaded(): Unit = loaded.await()
+
+    /** Reserves tokens; the answer comes by the event's `waitUntil`. */
+    public suspend fun reserve(event: HomeEvent.Reserve): ReserveAnswer {
+        val wait = event.waitUntil.millisecondsSince(clock.now())
+        withTimeoutOrNull(wait) { awaitLoaded() } ?: return ReserveAnswer.Refused(ResultCode.ROUTER_NOT_READY)
+        val answer = CompletableDeferred<ReserveAnswer>()
+        inbox.send(ShardMessage.Reserving(event, answer))
+        return answer.await()
+    }
+
+    /** Settles a request; true when the settlement was read back, false when the log is out and it waits here. */
+    public suspend fun settle(event: HomeEvent.Settle): Boolean {
+        awaitLoaded()
+        val answer = CompletableDeferred<Boolean>()
+        val named = if (event.holder.value.isEmpty()) event.copy(holder = holder) else event
+        inbox.send(ShardMessage.Settling(named, answer))
+        return answer.await()
+    }
+
+    /** Sends [event] without waiting for its effects. */
+    public suspend fun send(event: HomeEvent) {
+        inbox.send(ShardMessage.Happened(event))
+    }
+
+    /** Appends [record] and waits until it is in the log. */
+    public suspend fun append(record: LedgerRecord) {
+        awaitLoaded()
+        appender.enqueue(record)
+    }
+
+    /** Appends a snapshot of the present state. */
+    public suspend fun takeSnapshot() {
+        state?.let { append(SnapshotTaken(it.ledger.toSnapshot())) }
+    }
+
+    private suspend fun follow() {
+        while (true) {
+            val initial = reader.loadInitialState()
+            logger.info { "shard: shard $shard is loaded through offset ${initial.through}" }
+            inbox.send(ShardMessage.Loaded(initial))
+            loaded.await()
+            reader.follow(initial.through) { offset, batch ->
+                inbox.send(ShardMessage.Happened(HomeEvent.BatchRead(offset, batch)))
+                if (batch.writer == holder) appender.readBack = maxOf(appender.readBack, batch.sequence)
+            }
+            logger.warn { "shard: shard $shard fell behind the log's retention and is loaded anew" }
+        }
+    }
+
+    private suspend fun tick() {
+        awaitLoaded()
+        while (true) {
+            delay(TICK_MILLISECONDS)
+            inbox.send(ShardMessage.Happened(HomeEvent.Tick))
+        }
+    }
+
+    private suspend fun handleMessages() {
+        for (message in inbox) {
+            when (message) {
+                is ShardMessage.Loaded -> load(message.ledger)
+                is ShardMessage.Reserving -> handleReserve(message)
+                is ShardMessage.Settling -> handleSettle(message)
+                is ShardMessage.Happened -> decide(message.event)
+                is ShardMessage.AppendFailed -> releaseSettling()
+            }
+        }
+    }
+
+    private fun load(ledger: LedgerState) {
+        if (state == null) {
+            state = HomeState(holder, ledger)
+            loaded.complete(Unit)
+        } else {
+            decide(HomeEvent.LedgerReplaced(ledger))
+        }
+    }
+
+    private fun handleReserve(message: ShardMessage.Reserving) {
+        if (message.event.request in reserving) {
+            message.answer.complete(ReserveAnswer.Refused(ResultCode.REQUEST_IN_PROGRESS))
+        } else {
+            reserving[message.event.request] = message.answer
+            decide(message.event)
+        }
+    }
+
+    private fun handleSettle(message: ShardMessage.Settling) {
+        val key = OpenKey(message.event.holder, message.event.request)
+        settling.getOrPut(key) { mutableListOf() } += message.answer
+        decide(message.event)
+        if (appender.isFailing) releaseSettling()
+    }
+
+    private fun releaseSettling() {
+        settling.values.flatten().forEach { it.complete(false) }
+        settling.clear()
+    }
+
+    private fun decide(event: HomeEvent) {
+        val present = state ?: return
+        val decision = home.decide(present, event, clock.now())
+        state = decision.state
+        decision.effects.forEach { carryOut(it) }
+    }
+
+    private fun carryOut(effect: HomeEffect) {
+        when (effect) {
+            is HomeEffect.Append -> appender.enqueue(effect.record)
+            is HomeEffect.AnswerReserve -> reserving.remove(effect.request)?.complete(effect.answer)
+            is HomeEffect.AnswerSettle ->
+                settling.remove(OpenKey(effect.holder, effect.request))?.forEach { it.complete(true) }
+        }
+    }
+
+    private companion object {
+        const val INBOX_CAPACITY = 10_000
+        const val TICK_MILLISECONDS = 50L
+    }
+}
