Close every connection when a router is ended at once

Change: each accepted connection is kept in a channel group, which is closed first. Conclusion: the in-process end now looks like a death to callers; deaths of processes of their own are still to be tried.

--- a/router/src/main/kotlin/org/heatherwind/router/RouterListeners.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/RouterListeners.kt
@@ -3,17 +3,21 @@
 import io.grpc.Server
 import io.grpc.netty.NettyServerBuilder
 import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.netty.Netty
 import io.ktor.server.netty.NettyApplicationEngine
 import io.ktor.server.routing.Routing
 import io.ktor.server.routing.routing
+import io.netty.channel.group.DefaultChannelGroup
+import io.netty.util.concurrent.GlobalEventExecutor
 import org.heatherwind.router.peer.HomeService
 import org.heatherwind.router.peer.PeerTokens
 import org.heatherwind.router.settings.ListenerSettings
 import org.heatherwind.router.settings.RouterSettings
 import java.net.InetSocketAddress
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 
 private typealias HttpServer = EmbeddedServer<NettyApplicationEngine, NettyApplicationEngine.Configuration>
 
@@ -22,6 +26,7 @@
     private var peers: Server? = null
     private var callers: HttpServer? = null
     private var operators: HttpServer? = null
+    private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
 
     var callerPort: Int = settings.callers.port
         private set
@@ -46,13 +51,26 @@
         operators = startHttp(settings.operators, routes).also { operatorPort = portOf(it) }
     }
 
+    /** Closes every connection at once, as the end of the process would; the listeners' threads end after it. */
     override fun close() {
         peers?.shutdownNow()
-        listOfNotNull(callers, operators).forEach { it.stop(gracePeriodMillis = 0, timeoutMillis = STOP_MILLISECONDS) }
+        connections.close()
+        listOfNotNull(callers, operators).forEach { server ->
+            thread(name = "listener-stop", isDaemon = true) { server.stop(gracePeriodMillis = 0, timeoutMillis = 0) }
+        }
     }
 
     private suspend fun startHttp(listener: ListenerSettings, routes: Routing.() -> Unit): HttpServer {
-        val server = embeddedServer(Netty, port = listener.port, host = listener.host) { routing(routes) }
+        val server = embeddedServer(
+            factory = Netty,
+            configure = {
+                connector {
+                    host = listener.host
+                    port = listener.port
+                }
+                channelPipelineConfig = { connections.add(channel()) }
+            },
+        ) { routing(routes) }
         server.startSuspend(wait = false)
         return server
     }
@@ -61,6 +79,5 @@
 
     private companion object {
         const val PERMITTED_KEEP_ALIVE_SECONDS = 5L
-        const val STOP_MILLISECONDS = 100L
     }
 }
--- a/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
@@ -141,8 +141,8 @@
     /** Ends everything at once, as the death of the process would. */
     public fun kill() {
         scope.cancel()
-        listeners.close()
         connections.close()
+        listeners.close()
         client.close()
     }
 
