--- a/core/src/main/kotlin/org/heatherwind/core/home/Home.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/Home.kt
@@ -15,7 +15,8 @@
             is HomeEvent.Settle -> draft.settle(event)
             is HomeEvent.BatchRead -> draft.read(event)
             is HomeEvent.LedgerReplaced -> draft.replaceLedger(event.ledger)
-            is HomeEvent.EntryGone -> draft.interruptRequestsOf { it.entry == event.entry }
+            is HomeEvent.ProcessGone -> draft.declareGone(event.process)
+            is HomeEvent.AccountsClosed -> draft.releaseHolder(event.holder)
             is HomeEvent.Tick -> draft.tick()
             is HomeEvent.Drain -> draft.drain()
         }
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeEvent.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeEvent.kt
@@ -44,8 +44,11 @@
     /** The reader fell behind the log's retention and went on from a newer state. */
     public data class LedgerReplaced(val ledger: LedgerState) : HomeEvent
 
-    /** An entry's process is known to be gone. */
-    public data class EntryGone(val entry: Incarnation) : HomeEvent
+    /** A router's process is known to be gone without a graceful stop. */
+    public data class ProcessGone(val process: Incarnation) : HomeEvent
+
+    /** Every router that could run requests under the gone [holder] has none left that is not settled. */
+    public data class AccountsClosed(val holder: Incarnation) : HomeEvent
 
     /** Time passed. */
     public data object Tick : HomeEvent
--- a/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerFold.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerFold.kt
@@ -103,11 +103,12 @@
     }
 
     private fun LedgerState.afterHolderGone(record: HolderGone, events: MutableList<LedgerEvent>): LedgerState {
+        if (record.holder in gone) return this
         events += LedgerEvent.HolderQuarantined(record.holder)
         val withoutWants = budgets.mapEach { account ->
             if (record.holder in account.unmet) account.copy(unmet = account.unmet.remove(record.holder)) else account
         }
-        return copy(gone = gone.add(record.holder), budgets = withoutWants)
+        return copy(gone = gone.put(record.holder, record.declaredAt), budgets = withoutWants)
     }
 
     private fun LedgerState.afterRelease(record: HolderReleased, events: MutableList<LedgerEvent>): LedgerState {
--- a/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerRecord.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerRecord.kt
@@ -108,7 +108,7 @@
 /** Declares a holder's process gone without a graceful stop: its grants are quarantined. */
 @Serializable
 @SerialName("gone")
-public data class HolderGone(val holder: Incarnation) : LedgerRecord
+public data class HolderGone(val holder: Incarnation, val declaredAt: Timestamp) : LedgerRecord
 
 /** Frees a quarantined holder's grants, except what requests known to be open under them reserved. */
 @Serializable
--- a/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerSnapshot.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerSnapshot.kt
@@ -23,7 +23,7 @@
     val attemptsPrevious: List<AttemptEntry>,
     val open: List<OpenEntry>,
     val writers: List<HolderTokens>,
-    val gone: List<Incarnation>,
+    val gone: List<GoneEntry>,
 ) {
     /** The state from which this snapshot was taken. */
     public fun toState(): LedgerState = LedgerState(
@@ -41,13 +41,17 @@
         ),
         open = open.associate { OpenKey(it.holder, it.request) to it.toOpen() }.toPersistentHashMap(),
         writers = writers.associate { it.holder to it.tokens }.toPersistentHashMap(),
-        gone = gone.toPersistentHashSet(),
+        gone = gone.associate { it.process to it.declaredAt }.toPersistentHashMap(),
     )
 
     /** A number of one holder: tokens, or a batch number among the writers. */
     @Serializable
     public data class HolderTokens(val holder: Incarnation, val tokens: Long)
 
+    /** One process declared gone. */
+    @Serializable
+    public data class GoneEntry(val process: Incarnation, val declaredAt: Timestamp)
+
     /** One unmet want, in the order of the log. */
     @Serializable
     public data class WantEntry(val holder: Incarnation, val wanted: Long, val atLeast: Long)
@@ -128,7 +132,7 @@
         )
     },
     writers = writers.map { LedgerSnapshot.HolderTokens(it.key, it.value) },
-    gone = gone.toList(),
+    gone = gone.map { LedgerSnapshot.GoneEntry(it.key, it.value) },
 )
 
 private fun Attempt.toEntry(key: AttemptKey) = LedgerSnapshot.AttemptEntry(key, fingerprint, request, outcome)
--- a/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerState.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerState.kt
@@ -1,9 +1,7 @@
 package org.heatherwind.core.ledger
 
 import kotlinx.collections.immutable.PersistentMap
-import kotlinx.collections.immutable.PersistentSet
 import kotlinx.collections.immutable.persistentHashMapOf
-import kotlinx.collections.immutable.persistentHashSetOf
 import org.heatherwind.core.identity.AttemptKey
 import org.heatherwind.core.identity.BudgetId
 import org.heatherwind.core.identity.Digest
@@ -22,7 +20,7 @@
  *
  * @property through offset of the last folded batch
  * @property writers the last batch number seen of each writer
- * @property gone holders declared gone whose grants are quarantined
+ * @property gone processes declared gone, with the moment; their grants are quarantined
  */
 public data class LedgerState(
     val through: Long = BEFORE_FIRST_OFFSET,
@@ -31,7 +29,7 @@
     val attempts: RecentMap<AttemptKey, Attempt> = RecentMap(REMEMBERED_KEYS),
     val open: PersistentMap<OpenKey, OpenRequest> = persistentHashMapOf(),
     val writers: PersistentMap<Incarnation, Long> = persistentHashMapOf(),
-    val gone: PersistentSet<Incarnation> = persistentHashSetOf(),
+    val gone: PersistentMap<Incarnation, Timestamp> = persistentHashMapOf(),
 )
 
 /** The bill of one request: how it ended and what was charged, in tokens. */
--- a/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
@@ -115,7 +115,7 @@
         val homes = HomeClient(shards, settings.ledgerShards, membership, connections, abandoned, clock)
         settlements = SettlementKeeper(homes)
         val peers = PeerExchange(incarnation, membership, connections, configuration) {
-            shards.sendToAll(HomeEvent.EntryGone(it))
+            shards.sendToAll(HomeEvent.ProcessGone(it))
         }
         exchange.exchange = peers
         callers = createCallers(homes)
--- a/router/src/main/kotlin/org/heatherwind/router/RouterStatus.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/RouterStatus.kt
@@ -41,7 +41,7 @@
             openRequests = state.open.size,
             unconfirmedRecords = runner.unconfirmedRecords,
             isLogFailing = runner.isLogFailing,
-            quarantinedHolders = state.ledger.gone.map { it.value }.sorted(),
+            quarantinedHolders = state.ledger.gone.keys.map { it.value }.sorted(),
         )
     }
 }
--- a/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
@@ -41,20 +41,24 @@
     }
 
     /**
-     * Settles a request at the holder that reserved for it, or at another home when that one is gone. True when the
-     * settlement is in the log, false when it waits in a home's queue, null when no home took it.
+     * Settles a request at the holder that reserved for it, or at another home when that one is gone. While the log is
+     * out, two homes take the settlement, so that one death does not lose it; the fold drops the second. True when the
+     * settlement is in the log.
      */
-    suspend fun settle(event: HomeEvent.Settle): Boolean? {
+    suspend fun settle(event: HomeEvent.Settle): Boolean {
         val shard = Rendezvous.shardOf(event.budget, shardCount)
+        var keepers = 0
         for (home in settlementHomes(shard, event.holder)) {
             val isRecorded = if (membership.isSelf(home.instance)) {
                 shards.of(shard).settle(event)
             } else {
                 settleRemotely(home, shard, event)
             }
-            if (isRecorded != null) return isRecorded
+            if (isRecorded == true) return true
+            if (isRecorded == false) keepers++
+            if (keepers == KEEPERS_IN_OUTAGE) return false
         }
-        return null
+        return false
     }
 
     private fun isClosedHome(answer: ReserveAnswer): Boolean =
@@ -99,6 +103,7 @@
 
     private companion object {
         const val TRIED_HOMES = 3
+        const val KEEPERS_IN_OUTAGE = 2
         const val ANSWER_MARGIN_MILLISECONDS = 200L
         const val SETTLE_MILLISECONDS = 2_000L
     }
