--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeDraft.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeDraft.kt
@@ -1,7 +1,7 @@
 package org.heatherwind.core.home
 
 import org.heatherwind.core.identity.BudgetId
-import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.ledger.LedgerRecord
 
@@ -13,8 +13,8 @@
         effects += HomeEffect.Append(record)
     }
 
-    fun answer(request: RequestKey, answer: ReserveAnswer) {
-        effects += HomeEffect.AnswerReserve(request, answer)
+    fun answer(reservation: ReservationId, answer: ReserveAnswer) {
+        effects += HomeEffect.AnswerReserve(reservation, answer)
     }
 
     inline fun changeHolding(budget: BudgetId, change: Holding.() -> Holding) {
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeEffect.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeEffect.kt
@@ -1,7 +1,7 @@
 package org.heatherwind.core.home
 
 import org.heatherwind.core.identity.Incarnation
-import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.ledger.AttemptOutcome
 import org.heatherwind.core.ledger.LedgerRecord
 import org.heatherwind.core.result.ResultCode
@@ -11,11 +11,11 @@
     /** Append [record] to the shard's stream, after all earlier ones. */
     public data class Append(val record: LedgerRecord) : HomeEffect
 
-    /** Answer the reservation of [request]. */
-    public data class AnswerReserve(val request: RequestKey, val answer: ReserveAnswer) : HomeEffect
+    /** Answer [reservation]. */
+    public data class AnswerReserve(val reservation: ReservationId, val answer: ReserveAnswer) : HomeEffect
 
-    /** Tell the entry of [request], which ran under the grant of [holder], that its settlement is in the log. */
-    public data class AnswerSettle(val holder: Incarnation, val request: RequestKey) : HomeEffect
+    /** Tell the entry of [reservation] under the grant of [holder] that its settlement is in the log. */
+    public data class AnswerSettle(val holder: Incarnation, val reservation: ReservationId) : HomeEffect
 }
 
 /** The answer to a reservation. */
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeEvent.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeEvent.kt
@@ -5,6 +5,7 @@
 import org.heatherwind.core.identity.Digest
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.ledger.AttemptOutcome
 import org.heatherwind.core.ledger.LedgerBatch
@@ -18,6 +19,7 @@
      * ends by [deadline].
      */
     public data class Reserve(
+        val reservation: ReservationId,
         val request: RequestKey,
         val budget: BudgetId,
         val keyDigest: Digest,
@@ -30,6 +32,7 @@
 
     /** An entry reports how a request ended that ran under the grant of [holder]. */
     public data class Settle(
+        val reservation: ReservationId,
         val request: RequestKey,
         val budget: BudgetId,
         val holder: Incarnation,
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeReading.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeReading.kt
@@ -2,6 +2,7 @@
 
 import org.heatherwind.core.identity.BudgetId
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.ledger.AttemptOutcome
 import org.heatherwind.core.ledger.LedgerEvent
 import org.heatherwind.core.ledger.LedgerFold
@@ -38,36 +39,42 @@
 
 private fun HomeDraft.reactToSettlement(event: LedgerEvent.SettlementFolded) {
     val record = event.record
-    val settling = state.settling[OpenKey(record.holder, record.request)]
+    val settling = state.settling[OpenKey(record.holder, record.reservation)]
     when {
         settling == record -> finishSettling(settling)
-        record.holder == state.holder -> dropHeld(record.request)
+        record.holder == state.holder -> dropHeld(record.reservation)
     }
 }
 
 private fun HomeDraft.finishSettling(record: RequestSettled) {
-    val key = OpenKey(record.holder, record.request)
+    val key = OpenKey(record.holder, record.reservation)
     state = state.copy(settling = state.settling.remove(key))
+    forgetRunning(record.request, record.reservation)
     if (record.holder == state.holder) changeHolding(record.budget) { copy(committed = committed - record.charged) }
     confirm(key)
 }
 
-private fun HomeDraft.dropHeld(request: RequestKey) {
-    val held = state.open[request] ?: return
-    state = state.copy(open = state.open.remove(request))
+private fun HomeDraft.dropHeld(reservation: ReservationId) {
+    val held = state.open[reservation] ?: return
+    state = state.copy(open = state.open.remove(reservation))
+    forgetRunning(held.request, reservation)
     changeHolding(held.budget) { copy(committed = committed - held.reserved) }
 }
 
+private fun HomeDraft.forgetRunning(request: RequestKey, reservation: ReservationId) {
+    if (state.running[request] == reservation) state = state.copy(running = state.running.remove(request))
+}
+
 private fun HomeDraft.reactToClaim(event: LedgerEvent.ClaimDecided) {
-    val held = state.open[event.request] ?: return
+    val held = state.open[event.reservation] ?: return
     if (!held.isClaimPending) return
     if (event.won) {
-        state = state.copy(open = state.open.put(event.request, held.copy(isClaimPending = false)))
-        answer(event.request, ReserveAnswer.Reserved(state.holder))
+        state = state.copy(open = state.open.put(event.reservation, held.copy(isClaimPending = false)))
+        answer(event.reservation, ReserveAnswer.Reserved(state.holder))
     } else {
         val recorded = held.claim?.let { recordedAnswer(it) }
-        closeOwn(event.request, held, charged = 0, SettlementOutcome.NOT_RUN)
-        answer(event.request, recorded ?: ReserveAnswer.Refused(ResultCode.ATTEMPT_OUTCOME_UNKNOWN))
+        closeOwn(event.reservation, held, charged = 0, SettlementOutcome.NOT_RUN)
+        answer(event.reservation, recorded ?: ReserveAnswer.Refused(ResultCode.ATTEMPT_OUTCOME_UNKNOWN))
     }
 }
 
@@ -82,11 +89,11 @@
     if (ledger.through <= state.ledger.through) return
     state = state.copy(ledger = ledger)
     state.settling.values.filter { isFolded(it) }.forEach { finishSettling(it) }
-    for ((request, held) in state.open) {
+    for ((reservation, held) in state.open) {
         val attempt = held.claim?.let { ledger.attempts[it.attempt] } ?: continue
-        val isOpenToClaims = attempt.request != request && attempt.outcome == AttemptOutcome.NotRun
+        val isOpenToClaims = attempt.reservation != reservation && attempt.outcome == AttemptOutcome.NotRun
         if (isOpenToClaims) continue
-        reactToClaim(LedgerEvent.ClaimDecided(held.claim.attempt, request, won = attempt.request == request))
+        reactToClaim(LedgerEvent.ClaimDecided(held.claim.attempt, reservation, won = attempt.reservation == reservation))
     }
     for (budget in state.holdings.keys) {
         changeHolding(budget) { copy(isWantPending = false) }
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeReservations.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeReservations.kt
@@ -10,7 +10,7 @@
 
 internal fun HomeDraft.reserve(event: HomeEvent.Reserve) {
     val refusal = refusalOf(event)
-    if (refusal != null) return answer(event.request, refusal)
+    if (refusal != null) return answer(event.reservation, refusal)
     changeHolding(event.budget) { copy(demand = demand.plus(event.tokens, now)) }
     if (state.freeOf(event.budget) >= event.tokens) {
         admit(event)
@@ -36,8 +36,8 @@
 }
 
 private fun HomeDraft.isKnownRequest(event: HomeEvent.Reserve): Boolean =
-    event.request in state.open ||
-        OpenKey(state.holder, event.request) in state.settling ||
+    event.request in state.running ||
+        OpenKey(state.holder, event.reservation) in state.settling ||
         state.holdings[event.budget]?.waiting.orEmpty().any { it.request == event.request }
 
 private fun HomeDraft.isAnswered(request: RequestKey): Boolean =
@@ -56,6 +56,7 @@
 
 internal fun HomeDraft.admit(event: HomeEvent.Reserve) {
     val held = HeldRequest(
+        request = event.request,
         budget = event.budget,
         reserved = event.tokens,
         entry = event.entry,
@@ -64,18 +65,22 @@
         claim = event.claim,
         isClaimPending = event.claim != null,
     )
-    state = state.copy(open = state.open.put(event.request, held))
+    state = state.copy(
+        open = state.open.put(event.reservation, held),
+        running = state.running.put(event.request, event.reservation),
+    )
     changeHolding(event.budget) { copy(committed = committed + event.tokens) }
     append(openedRecord(event))
     when (val claim = event.claim) {
-        null -> answer(event.request, ReserveAnswer.Reserved(state.holder))
-        else -> append(AttemptClaimed(claim.attempt, claim.fingerprint, event.request))
+        null -> answer(event.reservation, ReserveAnswer.Reserved(state.holder))
+        else -> append(AttemptClaimed(claim.attempt, claim.fingerprint, event.reservation))
     }
 }
 
 private fun HomeDraft.openedRecord(event: HomeEvent.Reserve) = RequestOpened(
     budget = event.budget,
     holder = state.holder,
+    reservation = event.reservation,
     request = event.request,
     reserved = event.tokens,
     entry = event.entry,
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeSettlements.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeSettlements.kt
@@ -1,6 +1,6 @@
 package org.heatherwind.core.home
 
-import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.ledger.AttemptFinished
 import org.heatherwind.core.ledger.AttemptOutcome
 import org.heatherwind.core.ledger.OpenKey
@@ -9,65 +9,76 @@
 import org.heatherwind.core.result.ResultCode
 
 internal fun HomeDraft.settle(event: HomeEvent.Settle) {
-    val key = OpenKey(event.holder, event.request)
+    val key = OpenKey(event.holder, event.reservation)
     if (key in state.settling) return
     val held = heldUnder(key)
     if (held == null && isAlreadyBilled(event)) return confirm(key)
     val charged = if (held == null) maxOf(event.charged, 0) else event.charged.coerceIn(0, held.reserved)
-    close(RequestSettled(event.budget, event.holder, event.request, charged, event.outcome))
-    event.attemptEnd?.let { append(AttemptFinished(it.attempt, event.request, it.outcome)) }
+    close(RequestSettled(event.budget, event.holder, event.reservation, event.request, charged, event.outcome))
+    event.attemptEnd?.let { append(AttemptFinished(it.attempt, event.reservation, it.outcome)) }
 }
 
 internal fun HomeDraft.close(record: RequestSettled) {
-    val key = OpenKey(record.holder, record.request)
+    val key = OpenKey(record.holder, record.reservation)
     val held = heldUnder(key)
     state = state.copy(settling = state.settling.put(key, record))
     if (held != null) {
-        state = state.copy(open = state.open.remove(record.request))
+        state = state.copy(open = state.open.remove(record.reservation))
         changeHolding(record.budget) { copy(committed = committed - held.reserved + record.charged) }
     }
     append(record)
 }
 
+internal fun HomeDraft.closeOwn(
+    reservation: ReservationId,
+    held: HeldRequest,
+    charged: Long,
+    outcome: SettlementOutcome,
+): Unit = close(RequestSettled(held.budget, state.holder, reservation, held.request, charged, outcome))
+
+private fun HomeDraft.isAlreadyBilled(event: HomeEvent.Settle): Boolean {
+    val billed = state.ledger.settled[event.request] ?: return false
+    return billed.outcome == SettlementOutcome.COMPLETED || event.outcome != SettlementOutcome.COMPLETED
+}
+
+private fun HomeDraft.heldUnder(key: OpenKey): HeldRequest? =
+    if (key.holder == state.holder) state.open[key.reservation] else null
+
 internal fun HomeDraft.expireClaims() {
     val expired = state.open.filter { it.value.isClaimPending && it.value.waitUntil <= now }
-    for ((request, held) in expired) {
-        closeOwn(request, held, charged = 0, SettlementOutcome.NOT_RUN)
-        held.claim?.let { append(AttemptFinished(it.attempt, request, AttemptOutcome.NotRun)) }
-        answer(request, ReserveAnswer.Refused(ResultCode.LOG_UNAVAILABLE))
+    for ((reservation, held) in expired) {
+        closeOwn(reservation, held, charged = 0, SettlementOutcome.NOT_RUN)
+        held.claim?.let { append(AttemptFinished(it.attempt, reservation, AttemptOutcome.NotRun)) }
+        answer(reservation, ReserveAnswer.Refused(ResultCode.LOG_UNAVAILABLE))
     }
 }
 
 internal fun HomeDraft.interruptRequestsOf(predicate: (HeldRequest) -> Boolean) {
-    for ((request, held) in state.open.filter { !it.value.isClaimPending && predicate(it.value) }) {
-        closeOwn(request, held, held.reserved, SettlementOutcome.INTERRUPTED)
-        held.claim?.let { append(AttemptFinished(it.attempt, request, AttemptOutcome.Unknown)) }
+    for ((reservation, held) in state.open.filter { !it.value.isClaimPending && predicate(it.value) }) {
+        closeOwn(reservation, held, held.reserved, SettlementOutcome.INTERRUPTED)
+        held.claim?.let { append(AttemptFinished(it.attempt, reservation, AttemptOutcome.Unknown)) }
     }
 }
 
 internal fun HomeDraft.settleForGoneHolders() {
     if (state.ledger.gone.isEmpty()) return
     val abandoned = state.ledger.open.filter { (key, opened) ->
-        key.holder in state.ledger.gone &&
-            key !in state.settling &&
-            isOverdue(opened.deadline)
+        key.holder in state.ledger.gone && key !in state.settling && isOverdue(opened.deadline)
     }
     for ((key, opened) in abandoned) {
-        close(RequestSettled(opened.budget, key.holder, key.request, opened.reserved, SettlementOutcome.INTERRUPTED))
+        close(
+            RequestSettled(
+                budget = opened.budget,
+                holder = key.holder,
+                reservation = key.reservation,
+                request = opened.request,
+                charged = opened.reserved,
+                outcome = SettlementOutcome.INTERRUPTED,
+            ),
+        )
     }
 }
 
 internal fun HomeDraft.confirm(key: OpenKey) {
-    effects += HomeEffect.AnswerSettle(key.holder, key.request)
+    effects += HomeEffect.AnswerSettle(key.holder, key.reservation)
 }
-
-private fun HomeDraft.isAlreadyBilled(event: HomeEvent.Settle): Boolean {
-    val billed = state.ledger.settled[event.request] ?: return false
-    return billed.outcome == SettlementOutcome.COMPLETED || event.outcome != SettlementOutcome.COMPLETED
-}
-
-private fun HomeDraft.heldUnder(key: OpenKey): HeldRequest? =
-    if (key.holder == state.holder) state.open[key.request] else null
-
-internal fun HomeDraft.closeOwn(request: RequestKey, held: HeldRequest, charged: Long, outcome: SettlementOutcome) =
-    close(RequestSettled(held.budget, state.holder, request, charged, outcome))
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeState.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeState.kt
@@ -7,6 +7,7 @@
 import org.heatherwind.core.identity.BudgetId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.ledger.LedgerState
 import org.heatherwind.core.ledger.OpenKey
@@ -17,13 +18,15 @@
  *
  * @property holder this router's process, under which its grants stand
  * @property open requests that reserved tokens here and did not settle
+ * @property running the reservation of each request that is open or settling here
  * @property settling settlements appended and not read back
  */
 public data class HomeState(
     val holder: Incarnation,
     val ledger: LedgerState,
     val holdings: PersistentMap<BudgetId, Holding> = persistentHashMapOf(),
-    val open: PersistentMap<RequestKey, HeldRequest> = persistentHashMapOf(),
+    val open: PersistentMap<ReservationId, HeldRequest> = persistentHashMapOf(),
+    val running: PersistentMap<RequestKey, ReservationId> = persistentHashMapOf(),
     val settling: PersistentMap<OpenKey, RequestSettled> = persistentHashMapOf(),
     val isDraining: Boolean = false,
 ) {
@@ -53,6 +56,7 @@
 
 /** A request that holds [reserved] tokens here; [isClaimPending] until its claim was read back, by [waitUntil]. */
 public data class HeldRequest(
+    val request: RequestKey,
     val budget: BudgetId,
     val reserved: Long,
     val entry: Incarnation,
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeWaiting.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeWaiting.kt
@@ -41,7 +41,7 @@
     val refused = state.holdings[budget]?.waiting?.filter(predicate).orEmpty()
     if (refused.isEmpty()) return
     changeHolding(budget) { copy(waiting = waiting.removeAll(refused)) }
-    refused.forEach { answer(it.request, ReserveAnswer.Refused(code)) }
+    refused.forEach { answer(it.reservation, ReserveAnswer.Refused(code)) }
     withdrawIfIdle(budget)
 }
 
--- a/core/src/main/kotlin/org/heatherwind/core/identity/Identifiers.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/identity/Identifiers.kt
@@ -51,6 +51,16 @@
     override fun toString(): String = value
 }
 
+/**
+ * Names one try to reserve for a request at one home. A request that arrives again, or that is tried at another home,
+ * gets another one, so that a late message about an earlier try cannot end a later one.
+ */
+@Serializable
+@JvmInline
+public value class ReservationId(public val value: String) {
+    override fun toString(): String = value
+}
+
 /** Names one piece of non-idempotent work, derived from the budget and the caller's idempotency key. */
 @Serializable
 @JvmInline
--- a/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerEvent.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerEvent.kt
@@ -3,7 +3,7 @@
 import org.heatherwind.core.identity.AttemptKey
 import org.heatherwind.core.identity.BudgetId
 import org.heatherwind.core.identity.Incarnation
-import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 
 /** What a folded batch changed, for those who wait for it. */
 public sealed interface LedgerEvent {
@@ -19,8 +19,8 @@
     /** A settlement was folded; [applied] is false for one that came second. */
     public data class SettlementFolded(val record: RequestSettled, val applied: Boolean) : LedgerEvent
 
-    /** A claim by [request] was folded; [won] tells whether it may run. */
-    public data class ClaimDecided(val attempt: AttemptKey, val request: RequestKey, val won: Boolean) : LedgerEvent
+    /** A claim by [reservation] was folded; [won] tells whether it may run. */
+    public data class ClaimDecided(val attempt: AttemptKey, val reservation: ReservationId, val won: Boolean) : LedgerEvent
 
     /** The grants of [holder] were quarantined. */
     public data class HolderQuarantined(val holder: Incarnation) : LedgerEvent
--- a/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerFold.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerFold.kt
@@ -63,12 +63,12 @@
     }
 
     private fun LedgerState.afterOpening(record: RequestOpened): LedgerState {
-        val opened = OpenRequest(record.budget, record.reserved, record.entry, record.deadline)
-        return copy(open = open.put(OpenKey(record.holder, record.request), opened))
+        val opened = OpenRequest(record.request, record.budget, record.reserved, record.entry, record.deadline)
+        return copy(open = open.put(OpenKey(record.holder, record.reservation), opened))
     }
 
     private fun LedgerState.afterSettlement(record: RequestSettled, events: MutableList<LedgerEvent>): LedgerState {
-        val closed = copy(open = open.remove(OpenKey(record.holder, record.request)))
+        val closed = copy(open = open.remove(OpenKey(record.holder, record.reservation)))
         val applied = isBillable(record)
         events += LedgerEvent.SettlementFolded(record, applied)
         if (!applied) return closed.changingBudget(record.budget, events) { this }
@@ -91,14 +91,14 @@
     private fun LedgerState.afterClaim(record: AttemptClaimed, events: MutableList<LedgerEvent>): LedgerState {
         val earlier = attempts[record.attempt]
         val won = earlier == null || earlier.outcome == AttemptOutcome.NotRun
-        events += LedgerEvent.ClaimDecided(record.attempt, record.request, won)
+        events += LedgerEvent.ClaimDecided(record.attempt, record.reservation, won)
         if (!won) return this
-        return copy(attempts = attempts.put(record.attempt, Attempt(record.fingerprint, record.request)))
+        return copy(attempts = attempts.put(record.attempt, Attempt(record.fingerprint, record.reservation)))
     }
 
     private fun LedgerState.afterFinish(record: AttemptFinished): LedgerState {
         val attempt = attempts[record.attempt] ?: return this
-        if (attempt.request != record.request || attempt.outcome != null) return this
+        if (attempt.reservation != record.reservation || attempt.outcome != null) return this
         return copy(attempts = attempts.put(record.attempt, attempt.copy(outcome = record.outcome)))
     }
 
--- a/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerRecord.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerRecord.kt
@@ -8,6 +8,7 @@
 import org.heatherwind.core.identity.Digest
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.identity.Timestamp
 
 /** One record of a ledger shard's stream. It takes effect only where the fold accepts it. Token counts are tokens. */
@@ -54,6 +55,7 @@
 public data class RequestOpened(
     val budget: BudgetId,
     val holder: Incarnation,
+    val reservation: ReservationId,
     val request: RequestKey,
     val reserved: Long,
     val entry: Incarnation,
@@ -82,18 +84,19 @@
 public data class RequestSettled(
     val budget: BudgetId,
     val holder: Incarnation,
+    val reservation: ReservationId,
     val request: RequestKey,
     val charged: Long,
     val outcome: SettlementOutcome,
 ) : LedgerRecord
 
-/** Claims non-idempotent work for [request]. The first in the log's order may run it. */
+/** Claims non-idempotent work for [reservation]. The first in the log's order may run it. */
 @Serializable
 @SerialName("claim")
 public data class AttemptClaimed(
     val attempt: AttemptKey,
     val fingerprint: Digest,
-    val request: RequestKey,
+    val reservation: ReservationId,
 ) : LedgerRecord
 
 /** Records how a claimed attempt ended. */
@@ -101,7 +104,7 @@
 @SerialName("finish")
 public data class AttemptFinished(
     val attempt: AttemptKey,
-    val request: RequestKey,
+    val reservation: ReservationId,
     val outcome: AttemptOutcome,
 ) : LedgerRecord
 
--- a/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerSnapshot.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerSnapshot.kt
@@ -10,6 +10,7 @@
 import org.heatherwind.core.identity.Digest
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.identity.Timestamp
 
 /** A shard's state as it is written to the log and sent to peers. [through] is the last folded offset. */
@@ -39,7 +40,7 @@
             current = attemptsCurrent.associate { it.key to it.toAttempt() }.toPersistentHashMap(),
             previous = attemptsPrevious.associate { it.key to it.toAttempt() }.toPersistentHashMap(),
         ),
-        open = open.associate { OpenKey(it.holder, it.request) to it.toOpen() }.toPersistentHashMap(),
+        open = open.associate { OpenKey(it.holder, it.reservation) to it.toOpen() }.toPersistentHashMap(),
         writers = writers.associate { it.holder to it.tokens }.toPersistentHashMap(),
         gone = gone.associate { it.process to it.declaredAt }.toPersistentHashMap(),
     )
@@ -93,23 +94,24 @@
     public data class AttemptEntry(
         val key: AttemptKey,
         val fingerprint: Digest,
-        val request: RequestKey,
+        val reservation: ReservationId,
         val outcome: AttemptOutcome? = null,
     ) {
-        internal fun toAttempt(): Attempt = Attempt(fingerprint, request, outcome)
+        internal fun toAttempt(): Attempt = Attempt(fingerprint, reservation, outcome)
     }
 
     /** One open request. */
     @Serializable
     public data class OpenEntry(
         val holder: Incarnation,
+        val reservation: ReservationId,
         val request: RequestKey,
         val budget: BudgetId,
         val reserved: Long,
         val entry: Incarnation,
         val deadline: Timestamp,
     ) {
-        internal fun toOpen(): OpenRequest = OpenRequest(budget, reserved, entry, deadline)
+        internal fun toOpen(): OpenRequest = OpenRequest(request, budget, reserved, entry, deadline)
     }
 }
 
@@ -124,7 +126,8 @@
     open = open.map { (key, request) ->
         LedgerSnapshot.OpenEntry(
             holder = key.holder,
-            request = key.request,
+            reservation = key.reservation,
+            request = request.request,
             budget = request.budget,
             reserved = request.reserved,
             entry = request.entry,
@@ -135,7 +138,7 @@
     gone = gone.map { LedgerSnapshot.GoneEntry(it.key, it.value) },
 )
 
-private fun Attempt.toEntry(key: AttemptKey) = LedgerSnapshot.AttemptEntry(key, fingerprint, request, outcome)
+private fun Attempt.toEntry(key: AttemptKey) = LedgerSnapshot.AttemptEntry(key, fingerprint, reservation, outcome)
 
 private fun BudgetAccount.toEntry(budget: BudgetId) = LedgerSnapshot.BudgetEntry(
     budget = budget,
--- a/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerState.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerState.kt
@@ -7,6 +7,7 @@
 import org.heatherwind.core.identity.Digest
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.identity.Timestamp
 
 /** Least number of settled requests and of attempts that a shard remembers. */
@@ -35,11 +36,12 @@
 /** The bill of one request: how it ended and what was charged, in tokens. */
 public data class SettledRequest(val outcome: SettlementOutcome, val charged: Long)
 
-/** Names a request that runs under one holder's grant. */
-public data class OpenKey(val holder: Incarnation, val request: RequestKey)
+/** Names a reservation under one holder's grant. */
+public data class OpenKey(val holder: Incarnation, val reservation: ReservationId)
 
 /** A request that was reported open and is not settled. [reserved] is in tokens. */
 public data class OpenRequest(
+    val request: RequestKey,
     val budget: BudgetId,
     val reserved: Long,
     val entry: Incarnation,
@@ -47,4 +49,4 @@
 )
 
 /** A claimed piece of non-idempotent work; [outcome] is null while it runs or after its runner died. */
-public data class Attempt(val fingerprint: Digest, val request: RequestKey, val outcome: AttemptOutcome? = null)
+public data class Attempt(val fingerprint: Digest, val reservation: ReservationId, val outcome: AttemptOutcome? = null)
--- a/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
@@ -113,7 +113,7 @@
         membership = Membership(ownEntry(), list)
         val abandoned = AbandonedReservations(membership, connections)
         val homes = HomeClient(shards, settings.ledgerShards, membership, connections, abandoned, clock)
-        settlements = SettlementKeeper(homes)
+        settlements = SettlementKeeper(homes, clock)
         val peers = PeerExchange(incarnation, membership, connections, configuration) {
             shards.sendToAll(HomeEvent.ProcessGone(it))
         }
--- a/router/src/main/kotlin/org/heatherwind/router/entry/ChatHandler.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/entry/ChatHandler.kt
@@ -11,6 +11,7 @@
 import org.heatherwind.core.home.ReserveAnswer
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.ledger.SettlementOutcome
@@ -57,8 +58,9 @@
 
     private suspend fun serve(call: ApplicationCall, work: ChatWork) {
         trace(work, "Arrived for ${work.service.name}; worst case ${work.reserved} tokens of ${work.credentials.budget}.")
-        when (val answer = context.homes.reserve(work.reservation(context.entry))) {
-            is ReserveAnswer.Reserved -> run(call, work, answer.holder)
+        val (reservation, answer) = context.homes.reserve(work.reservation(context.entry, context.identity.arrivalName()))
+        when (answer) {
+            is ReserveAnswer.Reserved -> run(call, work, RunningGrant(answer.holder, reservation))
             is ReserveAnswer.Refused -> refuse(call, work, answer.code)
             is ReserveAnswer.Recorded -> refuse(call, work, ResultCode.REQUEST_ALREADY_ANSWERED)
         }
@@ -69,18 +71,18 @@
         EntryError.respond(call, code, work.key)
     }
 
-    private suspend fun run(call: ApplicationCall, work: ChatWork, holder: Incarnation) {
-        trace(work, "Reserved under the grant of $holder.")
+    private suspend fun run(call: ApplicationCall, work: ChatWork, grant: RunningGrant) {
+        trace(work, "Reserved under the grant of ${grant.holder}.")
         val tried = mutableSetOf<TargetId>()
         var refusal = ResultCode.NO_TARGET_FREE
         while (tried.size < MAXIMUM_TRIES) {
-            val code = tryOnce(call, work, holder, tried) ?: break
+            val code = tryOnce(call, work, grant, tried) ?: break
             if (code == ResultCode.COMPLETED) return
             refusal = code
             if (tried.size < MAXIMUM_TRIES) context.metrics.countRetry(work.service.name.value)
         }
         val outcome = if (refusal.isNotRun) SettlementOutcome.NOT_RUN else SettlementOutcome.INTERRUPTED
-        settle(work, holder, charged = 0, outcome)
+        settle(work, grant, charged = 0, outcome)
         refuse(call, work, refusal)
     }
 
@@ -88,7 +90,7 @@
     private suspend fun tryOnce(
         call: ApplicationCall,
         work: ChatWork,
-        holder: Incarnation,
+        grant: RunningGrant,
         tried: MutableSet<TargetId>,
     ): ResultCode? {
         val wait = work.deadline.millisecondsLeft(context.clock.now())
@@ -101,7 +103,7 @@
                     is EngineStart.Refused -> ResultCode.TARGET_REFUSED
                     is EngineStart.Rejected -> ResultCode.TARGET_REFUSED
                     is EngineStart.Failed -> ResultCode.TARGET_FAILED
-                    is EngineStart.Streaming -> relay(call, work, holder, start.stream)
+                    is EngineStart.Streaming -> relay(call, work, grant, start.stream)
                 }
             }
         } finally {
@@ -112,7 +114,7 @@
     private suspend fun relay(
         call: ApplicationCall,
         work: ChatWork,
-        holder: Incarnation,
+        grant: RunningGrant,
         stream: EngineStream,
     ): ResultCode {
         val first = (stream.next(work.progressMilliseconds) as? EngineRead.Event)?.event
@@ -122,7 +124,7 @@
         val meter = AnswerMeter(work.reserved, work.answerTokens, work.chat.worstPromptTokens)
         CallerAnswer.open(call, work.key, work.chat) { answer ->
             val relay = AnswerRelay(stream, answer, meter, work.progressMilliseconds, work.deadline, context.clock)
-            passOn(relay, first, work, holder, answer)
+            passOn(relay, first, work, grant, answer)
         }
         return ResultCode.COMPLETED
     }
@@ -131,10 +133,11 @@
         relay: AnswerRelay,
         first: EngineEvent.Piece,
         work: ChatWork,
-        holder: Incarnation,
+        grant: RunningGrant,
         answer: CallerAnswer,
     ) {
         var code = ResultCode.CALLER_LEFT
+        var isSafe = false
         try {
             code = relay.passOn(first)
         } catch (_: IOException) {
@@ -143,26 +146,28 @@
             trace(work, "The caller's call was cancelled.")
             throw cancelled
         } finally {
-            settleEnd(work, holder, relay.charged, code)
+            isSafe = settleEnd(work, grant, relay.charged, code)
         }
         when (code) {
-            ResultCode.COMPLETED -> answer.finish()
+            ResultCode.COMPLETED -> if (isSafe) answer.finish() else answer.fail(ResultCode.ANSWER_INTERRUPTED)
             ResultCode.CALLER_LEFT -> Unit
             else -> answer.fail(code)
         }
     }
 
-    private suspend fun settleEnd(work: ChatWork, holder: Incarnation, charged: Long, code: ResultCode) {
+    private suspend fun settleEnd(work: ChatWork, grant: RunningGrant, charged: Long, code: ResultCode): Boolean {
         val isWhole = code == ResultCode.COMPLETED
-        settle(work, holder, charged, if (isWhole) SettlementOutcome.COMPLETED else SettlementOutcome.INTERRUPTED)
+        val isSafe = settle(work, grant, charged, if (isWhole) SettlementOutcome.COMPLETED else SettlementOutcome.INTERRUPTED)
         context.metrics.countTokens(work.service.name.value, charged)
         trace(work, "Settled at $charged of ${work.reserved} reserved tokens.")
         end(work, code)
+        return isSafe
     }
 
-    private suspend fun settle(work: ChatWork, holder: Incarnation, charged: Long, outcome: SettlementOutcome) =
+    private suspend fun settle(work: ChatWork, grant: RunningGrant, charged: Long, outcome: SettlementOutcome) =
         context.settlements.settle(
-            HomeEvent.Settle(work.key, work.credentials.budget, holder, charged, outcome),
+            HomeEvent.Settle(grant.reservation, work.key, work.credentials.budget, grant.holder, charged, outcome),
+            work.deadline,
         )
 
     private fun end(work: ChatWork, code: ResultCode) {
@@ -194,7 +199,8 @@
     /** The most that the request can use. */
     val reserved: Long get() = chat.worstPromptTokens + answerTokens
 
-    fun reservation(entry: Incarnation): HomeEvent.Reserve = HomeEvent.Reserve(
+    fun reservation(entry: Incarnation, arrival: ReservationId): HomeEvent.Reserve = HomeEvent.Reserve(
+        reservation = arrival,
         request = key,
         budget = credentials.budget,
         keyDigest = credentials.keyDigest,
--- a/router/src/main/kotlin/org/heatherwind/router/entry/PlainHandler.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/entry/PlainHandler.kt
@@ -18,6 +18,7 @@
 import org.heatherwind.core.home.ReserveAnswer
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.ledger.AttemptOutcome
@@ -56,8 +57,9 @@
 
     private suspend fun serve(call: ApplicationCall, work: PlainWork) {
         trace(work, "Arrived for ${work.service.name}; price ${work.service.tokensPerCall} tokens.")
-        when (val answer = context.homes.reserve(work.reservation(context.entry))) {
-            is ReserveAnswer.Reserved -> run(call, work, answer.holder)
+        val (reservation, answer) = context.homes.reserve(work.reservation(context.entry, context.identity.arrivalName()))
+        when (answer) {
+            is ReserveAnswer.Reserved -> run(call, work, RunningGrant(answer.holder, reservation))
             is ReserveAnswer.Refused -> refuse(call, work, answer.code)
             is ReserveAnswer.Recorded -> replay(call, work, answer.outcome)
         }
@@ -75,18 +77,20 @@
         respond(call, work, answered, ResultCode.REPLAYED_OUTCOME)
     }
 
-    private suspend fun run(call: ApplicationCall, work: PlainWork, holder: Incarnation) {
-        trace(work, "Reserved under the grant of $holder.")
+    private suspend fun run(call: ApplicationCall, work: PlainWork, grant: RunningGrant) {
+        trace(work, "Reserved under the grant of ${grant.holder}.")
         val tried = mutableSetOf<TargetId>()
         var result: PlainResult = PlainResult.NotRun
         while (result is PlainResult.NotRun && tried.size < MAXIMUM_TRIES) {
             result = tryOnce(work, tried) ?: break
         }
-        settle(work, holder, result)
+        val isSafe = settle(work, grant, result)
         when (result) {
-            is PlainResult.Answered -> {
+            is PlainResult.Answered -> if (isSafe) {
                 end(work, ResultCode.COMPLETED)
                 respond(call, work, result.outcome, ResultCode.COMPLETED)
+            } else {
+                refuse(call, work, ResultCode.ANSWER_INTERRUPTED)
             }
             PlainResult.NotRun -> refuse(call, work, ResultCode.TARGET_REFUSED)
             PlainResult.Unknown -> refuse(call, work, ResultCode.TARGET_FAILED)
@@ -105,15 +109,16 @@
         }
     }
 
-    private suspend fun settle(work: PlainWork, holder: Incarnation, result: PlainResult) {
+    private suspend fun settle(work: PlainWork, grant: RunningGrant, result: PlainResult): Boolean {
         val price = work.service.tokensPerCall
         val event = when (result) {
-            is PlainResult.Answered -> work.settlement(holder, price, SettlementOutcome.COMPLETED, result.outcome)
-            PlainResult.NotRun -> work.settlement(holder, 0, SettlementOutcome.NOT_RUN, AttemptOutcome.NotRun)
-            PlainResult.Unknown -> work.settlement(holder, price, SettlementOutcome.INTERRUPTED, AttemptOutcome.Unknown)
+            is PlainResult.Answered -> work.settlement(grant, price, SettlementOutcome.COMPLETED, result.outcome)
+            PlainResult.NotRun -> work.settlement(grant, 0, SettlementOutcome.NOT_RUN, AttemptOutcome.NotRun)
+            PlainResult.Unknown -> work.settlement(grant, price, SettlementOutcome.INTERRUPTED, AttemptOutcome.Unknown)
         }
-        context.settlements.settle(event)
+        val isSafe = context.settlements.settle(event, work.deadline)
         trace(work, "Settled at ${event.charged} tokens.")
+        return isSafe
     }
 
     private suspend fun respond(
@@ -150,7 +155,8 @@
     private val waitUntil: Timestamp,
     val deadline: Timestamp,
 ) {
-    fun reservation(entry: Incarnation): HomeEvent.Reserve = HomeEvent.Reserve(
+    fun reservation(entry: Incarnation, arrival: ReservationId): HomeEvent.Reserve = HomeEvent.Reserve(
+        reservation = arrival,
         request = key,
         budget = credentials.budget,
         keyDigest = credentials.keyDigest,
@@ -162,14 +168,15 @@
     )
 
     fun settlement(
-        holder: Incarnation,
+        grant: RunningGrant,
         charged: Long,
         outcome: SettlementOutcome,
         attemptOutcome: AttemptOutcome,
     ): HomeEvent.Settle = HomeEvent.Settle(
+        reservation = grant.reservation,
         request = key,
         budget = credentials.budget,
-        holder = holder,
+        holder = grant.holder,
         charged = charged,
         outcome = outcome,
         attemptEnd = claim?.let { AttemptEnd(it.attempt, attemptOutcome) },
--- a/router/src/main/kotlin/org/heatherwind/router/entry/RequestIdentity.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/entry/RequestIdentity.kt
@@ -6,6 +6,7 @@
 import org.heatherwind.core.identity.Digest
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.text.Charsets.UTF_8
 
@@ -14,7 +15,10 @@
     private val sequence = AtomicLong()
 
     /** A key for a request that its caller did not name. */
-    public fun uniqueKey(): RequestKey = RequestKey("$entry/${sequence.incrementAndGet()}")
+    public fun uniqueKey(): RequestKey = RequestKey(arrivalName().value)
+
+    /** A name for one arrival of a request, from which the names of its reservations are made. */
+    public fun arrivalName(): ReservationId = ReservationId("$entry/${sequence.incrementAndGet()}")
 
     /** The key of a request that its caller named: the same name with the same body is the same request. */
     public fun namedKey(budget: BudgetId, callerKey: String, fingerprint: Digest): RequestKey =
--- a/router/src/main/kotlin/org/heatherwind/router/entry/SettlementKeeper.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/entry/SettlementKeeper.kt
@@ -6,30 +6,40 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withContext
 import org.heatherwind.core.home.HomeEvent
+import org.heatherwind.core.identity.Clock
+import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.router.peer.HomeClient
+import org.heatherwind.router.peer.SettlementSafety
 import java.util.concurrent.atomic.AtomicInteger
 
 private val logger = KotlinLogging.logger("settlement")
 
 /** Brings settlements to a home, and keeps each until it is known to be in the log. */
-internal class SettlementKeeper(private val homes: HomeClient) {
+internal class SettlementKeeper(private val homes: HomeClient, private val clock: Clock) {
     private val queue = Channel<HomeEvent.Settle>(Channel.UNLIMITED)
     private val kept = AtomicInteger()
 
     /** Settlements that are not known to be in the log. */
     val waiting: Int get() = kept.get()
 
-    /** Settles now if a home can be reached, and later otherwise; also when the caller's coroutine is cancelled. */
-    suspend fun settle(event: HomeEvent.Settle) {
-        withContext(NonCancellable) {
-            if (!homes.settle(event)) keep(event)
+    /**
+     * Settles, also when the caller's coroutine is cancelled. Returns whether the settlement is safe; one that is not
+     * is tried again until [deadline], and kept after it.
+     */
+    suspend fun settle(event: HomeEvent.Settle, deadline: Timestamp): Boolean = withContext(NonCancellable) {
+        var safety = homes.settle(event)
+        while (safety == SettlementSafety.AT_RISK && clock.now() < deadline) {
+            delay(RETRY_MILLISECONDS)
+            safety = homes.settle(event)
         }
+        if (safety != SettlementSafety.RECORDED) keep(event)
+        safety != SettlementSafety.AT_RISK
     }
 
     /** Retries what is kept, until cancelled. */
     suspend fun run() {
         for (event in queue) {
-            while (!homes.settle(event)) delay(RETRY_MILLISECONDS)
+            while (homes.settle(event) != SettlementSafety.RECORDED) delay(RETRY_MILLISECONDS)
             kept.decrementAndGet()
         }
     }
--- a/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
@@ -7,6 +7,7 @@
 import org.heatherwind.core.home.ReserveAnswer
 import org.heatherwind.core.identity.Clock
 import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.ledger.SettlementOutcome
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.routing.Rendezvous
@@ -17,6 +18,9 @@
 
 private val logger = KotlinLogging.logger("home-client")
 
+/** A home's [answer], with the name under which it was asked. */
+internal data class ReservationResult(val reservation: ReservationId, val answer: ReserveAnswer)
+
 /** Reserves and settles at the home of a budget, and at the next in order when a home does not answer. */
 internal class HomeClient(
     private val shards: ShardRunners,
@@ -26,26 +30,27 @@
     private val abandoned: AbandonedReservations,
     private val clock: Clock,
 ) {
-    /** Reserves tokens for a request at the first home that answers. */
-    suspend fun reserve(event: HomeEvent.Reserve): ReserveAnswer {
-        val shard = Rendezvous.shardOf(event.budget, shardCount)
-        for (home in membership.homesOf(shard).take(TRIED_HOMES)) {
+    /** Reserves tokens for a request at the first home that answers; each home is asked under a name of its own. */
+    suspend fun reserve(request: HomeEvent.Reserve): ReservationResult {
+        val shard = Rendezvous.shardOf(request.budget, shardCount)
+        for ((index, home) in membership.homesOf(shard).take(TRIED_HOMES).withIndex()) {
+            val event = request.copy(reservation = ReservationId("${request.reservation}/$index"))
             val answer = if (membership.isSelf(home.instance)) {
                 shards.of(shard).reserve(event)
             } else {
                 reserveRemotely(home, shard, event)
             }
-            if (answer != null && !isClosedHome(answer)) return answer
+            if (answer != null && !isClosedHome(answer)) return ReservationResult(event.reservation, answer)
         }
-        return ReserveAnswer.Refused(ResultCode.HOME_UNREACHABLE)
+        return ReservationResult(request.reservation, ReserveAnswer.Refused(ResultCode.HOME_UNREACHABLE))
     }
 
     /**
      * Settles a request at the holder that reserved for it, or at another home when that one is gone. While the log is
-     * out, two homes take the settlement, so that one death does not lose it; the fold drops the second. True when the
-     * settlement is in the log.
+     * out, two homes take the settlement, so that the deaths of a home and of the entry do not lose it; the fold drops
+     * the second.
      */
-    suspend fun settle(event: HomeEvent.Settle): Boolean {
+    suspend fun settle(event: HomeEvent.Settle): SettlementSafety {
         val shard = Rendezvous.shardOf(event.budget, shardCount)
         var keepers = 0
         for (home in settlementHomes(shard, event.holder)) {
@@ -54,11 +59,11 @@
             } else {
                 settleRemotely(home, shard, event)
             }
-            if (isRecorded == true) return true
+            if (isRecorded == true) return SettlementSafety.RECORDED
             if (isRecorded == false) keepers++
-            if (keepers == KEEPERS_IN_OUTAGE) return false
+            if (keepers >= minOf(KEEPERS_IN_OUTAGE, membership.live.size)) return SettlementSafety.KEPT
         }
-        return false
+        return SettlementSafety.AT_RISK
     }
 
     private fun isClosedHome(answer: ReserveAnswer): Boolean =
@@ -81,6 +86,7 @@
         calling(home, SETTLE_MILLISECONDS) { it.settle(event.toMessage(shard)).recorded }
 
     private fun releaseOf(event: HomeEvent.Reserve) = HomeEvent.Settle(
+        reservation = event.reservation,
         request = event.request,
         budget = event.budget,
         holder = Incarnation(""),
--- a/router/src/main/kotlin/org/heatherwind/router/peer/PeerMessages.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/PeerMessages.kt
@@ -9,6 +9,7 @@
 import org.heatherwind.core.identity.Digest
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.ledger.AttemptOutcome
 import org.heatherwind.core.ledger.SettlementOutcome
@@ -25,6 +26,7 @@
 internal fun HomeEvent.Reserve.toMessage(shard: Int): ReserveRequest {
     val builder = ReserveRequest.newBuilder()
         .setShard(shard)
+        .setReservation(reservation.value)
         .setRequest(request.value)
         .setBudget(budget.value)
         .setKeyDigest(keyDigest.hexadecimal)
@@ -39,6 +41,7 @@
 }
 
 internal fun ReserveRequest.toEvent(): HomeEvent.Reserve = HomeEvent.Reserve(
+    reservation = ReservationId(reservation),
     request = RequestKey(request),
     budget = BudgetId(budget),
     keyDigest = Digest(keyDigest),
@@ -66,6 +69,7 @@
 internal fun HomeEvent.Settle.toMessage(shard: Int): SettleRequest {
     val builder = SettleRequest.newBuilder()
         .setShard(shard)
+        .setReservation(reservation.value)
         .setRequest(request.value)
         .setBudget(budget.value)
         .setHolder(holder.value)
@@ -76,6 +80,7 @@
 }
 
 internal fun SettleRequest.toEvent(): HomeEvent.Settle = HomeEvent.Settle(
+    reservation = ReservationId(reservation),
     request = RequestKey(request),
     budget = BudgetId(budget),
     holder = Incarnation(holder),
--- a/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
@@ -15,7 +15,7 @@
 import org.heatherwind.core.home.ReserveAnswer
 import org.heatherwind.core.identity.Clock
 import org.heatherwind.core.identity.Incarnation
-import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.ledger.LedgerRecord
 import org.heatherwind.core.ledger.LedgerSnapshot
 import org.heatherwind.core.ledger.LedgerState
@@ -45,7 +45,7 @@
     private val inbox = Channel<ShardMessage>(INBOX_CAPACITY)
     private val appender = ShardAppender(holder, stream, log, batchIntervalMilliseconds)
     private val reader = ShardReader(stream, log, fetchFromPeer)
-    private val reserving = HashMap<RequestKey, CompletableDeferred<ReserveAnswer>>()
+    private val reserving = HashMap<ReservationId, CompletableDeferred<ReserveAnswer>>()
     private val settling = HashMap<OpenKey, MutableList<CompletableDeferred<Boolean>>>()
     private val loaded = CompletableDeferred<Unit>()
 
@@ -149,16 +149,16 @@
     }
 
     private fun handleReserve(message: ShardMessage.Reserving) {
-        if (message.event.request in reserving) {
+        if (message.event.reservation in reserving) {
             message.answer.complete(ReserveAnswer.Refused(ResultCode.REQUEST_IN_PROGRESS))
         } else {
-            reserving[message.event.request] = message.answer
+            reserving[message.event.reservation] = message.answer
             decide(message.event)
         }
     }
 
     private fun handleSettle(message: ShardMessage.Settling) {
-        val key = OpenKey(message.event.holder, message.event.request)
+        val key = OpenKey(message.event.holder, message.event.reservation)
         settling.getOrPut(key) { mutableListOf() } += message.answer
         decide(message.event)
         if (appender.isFailing) releaseSettling()
@@ -179,9 +179,9 @@
     private fun carryOut(effect: HomeEffect) {
         when (effect) {
             is HomeEffect.Append -> appender.enqueue(effect.record)
-            is HomeEffect.AnswerReserve -> reserving.remove(effect.request)?.complete(effect.answer)
+            is HomeEffect.AnswerReserve -> reserving.remove(effect.reservation)?.complete(effect.answer)
             is HomeEffect.AnswerSettle ->
-                settling.remove(OpenKey(effect.holder, effect.request))?.forEach { it.complete(true) }
+                settling.remove(OpenKey(effect.holder, effect.reservation))?.forEach { it.complete(true) }
         }
     }
 
--- a/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryFleet.kt
+++ b/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryFleet.kt
@@ -29,6 +29,7 @@
     private val cuts = mutableSetOf<Set<InstanceId>>()
     private val requests = mutableMapOf<HistoryRouter, MutableList<HistoryRequest>>()
     private var operatorBatches = 0L
+    private var numbers = 0L
 
     /** Routers that were started and not removed, dead ones included until the instance list drops them. */
     public val routers: MutableList<HistoryRouter> = mutableListOf()
@@ -92,6 +93,8 @@
     /** Tokens that running requests may still use. */
     public fun exposedTokens(): Long = requests.filterKeys { !it.isDead }.values.flatten().sumOf { it.exposed }
 
+    internal fun nextNumber(): Long = ++numbers
+
     internal fun isConnected(one: HistoryRouter, other: HistoryRouter): Boolean =
         one === other || (!other.isDead && setOf(one.instance, other.instance) !in cuts)
 
--- a/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryRequest.kt
+++ b/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryRequest.kt
@@ -8,6 +8,7 @@
 import org.heatherwind.core.identity.Digest
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.ledger.AttemptOutcome
 import org.heatherwind.core.ledger.SettlementOutcome
@@ -66,15 +67,16 @@
     fun cut() = end(HistoryEnd.Cut)
 
     private fun tryHome(homes: List<HistoryRouter>) {
+        val reservation = ReservationId("${entry.incarnation}/${fleet.nextNumber()}")
         val home = homes.firstOrNull()
         if (home == null || time.now >= waitUntil) return end(HistoryEnd.Refused(ResultCode.HOME_UNREACHABLE))
         var isAnswered = false
         fleet.send(entry, home) {
-            home.reserve(reservation()) { answer ->
+            home.reserve(reserving(reservation)) { answer ->
                 fleet.send(home, entry) {
                     if (!isAnswered) {
                         isAnswered = true
-                        handle(answer, homes)
+                        handle(answer, homes, reservation)
                     }
                 }
             }
@@ -84,16 +86,16 @@
             entry.act {
                 if (!isAnswered) {
                     isAnswered = true
-                    abandon(home)
+                    abandon(home, reservation)
                     tryHome(homes.drop(1))
                 }
             }
         }
     }
 
-    private fun handle(answer: ReserveAnswer, homes: List<HistoryRouter>) {
+    private fun handle(answer: ReserveAnswer, homes: List<HistoryRouter>, reservation: ReservationId) {
         when (answer) {
-            is ReserveAnswer.Reserved -> run(answer.holder)
+            is ReserveAnswer.Reserved -> run(answer.holder, reservation)
             is ReserveAnswer.Recorded -> end(HistoryEnd.Replayed)
             is ReserveAnswer.Refused -> {
                 val isClosed = answer.code == ResultCode.ROUTER_DRAINING || answer.code == ResultCode.ROUTER_NOT_READY
@@ -102,18 +104,18 @@
         }
     }
 
-    private fun run(holder: Incarnation) {
+    private fun run(holder: Incarnation, reservation: ReservationId) {
         fleet.truth.ran(demand)
         exposed = demand.worstTokens
         time.after(demand.runMilliseconds) {
             entry.act {
                 val outcome = AttemptOutcome.Answered(status = 200, body = "done")
-                settle(settlement(holder, demand.usedTokens, SettlementOutcome.COMPLETED, outcome), isFirst = true)
+                settle(settlement(holder, reservation, demand.usedTokens, SettlementOutcome.COMPLETED, outcome))
             }
         }
     }
 
-    private fun settle(event: HomeEvent.Settle, isFirst: Boolean) {
+    private fun settle(event: HomeEvent.Settle) {
         val homes = fleet.settlementHomes(entry, event)
         var answers = 0
         var recorded = false
@@ -134,8 +136,8 @@
         time.after(SETTLE_MILLISECONDS) {
             entry.act {
                 if (!recorded) {
-                    if (isFirst && answers > 0) finish()
-                    settle(event, isFirst = false)
+                    if (answers >= KEEPERS) finish()
+                    settle(event)
                 }
             }
         }
@@ -146,13 +148,13 @@
         end(HistoryEnd.Whole)
     }
 
-    private fun abandon(home: HistoryRouter) {
-        val release = settlement(Incarnation(""), 0, SettlementOutcome.NOT_RUN, AttemptOutcome.NotRun)
+    private fun abandon(home: HistoryRouter, reservation: ReservationId) {
+        val release = settlement(Incarnation(""), reservation, 0, SettlementOutcome.NOT_RUN, AttemptOutcome.NotRun)
         var isAnswered = false
         fleet.send(entry, home) {
             home.settle(release) { fleet.send(home, entry) { isAnswered = true } }
         }
-        time.after(SETTLE_MILLISECONDS) { entry.act { if (!isAnswered && !home.isDead) abandon(home) } }
+        time.after(SETTLE_MILLISECONDS) { entry.act { if (!isAnswered && !home.isDead) abandon(home, reservation) } }
     }
 
     private fun end(how: HistoryEnd) {
@@ -162,7 +164,8 @@
         onEnd(how)
     }
 
-    private fun reservation() = HomeEvent.Reserve(
+    private fun reserving(reservation: ReservationId) = HomeEvent.Reserve(
+        reservation = reservation,
         request = demand.key,
         budget = demand.budget,
         keyDigest = KEY_DIGEST,
@@ -173,8 +176,14 @@
         claim = demand.claim,
     )
 
-    private fun settlement(holder: Incarnation, charged: Long, outcome: SettlementOutcome, end: AttemptOutcome) =
-        HomeEvent.Settle(
+    private fun settlement(
+        holder: Incarnation,
+        reservation: ReservationId,
+        charged: Long,
+        outcome: SettlementOutcome,
+        end: AttemptOutcome,
+    ) = HomeEvent.Settle(
+            reservation = reservation,
             request = demand.key,
             budget = demand.budget,
             holder = holder,
@@ -189,6 +198,7 @@
         const val MARGIN_MILLISECONDS = 200L
         const val REFUSED_MILLISECONDS = 20L
         const val SETTLE_MILLISECONDS = 2_000L
+        const val KEEPERS = 2
         const val DEADLINE_MILLISECONDS = 120_000L
     }
 }
--- a/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryRouter.kt
+++ b/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryRouter.kt
@@ -8,7 +8,7 @@
 import org.heatherwind.core.home.ReserveAnswer
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.InstanceId
-import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.ledger.LedgerBatch
 import org.heatherwind.core.ledger.LedgerRecord
 import org.heatherwind.core.ledger.LedgerState
@@ -34,7 +34,7 @@
     private var underWay: LedgerBatch? = null
     private var sequence = 0L
     private var pausedUntil = time.now
-    private val reserving = HashMap<RequestKey, (ReserveAnswer) -> Unit>()
+    private val reserving = HashMap<ReservationId, (ReserveAnswer) -> Unit>()
     private val settling = HashMap<OpenKey, MutableList<(Boolean) -> Unit>>()
 
     /** Its process. */
@@ -79,15 +79,15 @@
 
     /** Reserves; [onAnswer] is called in this process. */
     public fun reserve(event: HomeEvent.Reserve, onAnswer: (ReserveAnswer) -> Unit) {
-        if (event.request in reserving) return
-        reserving[event.request] = onAnswer
+        if (event.reservation in reserving) return
+        reserving[event.reservation] = onAnswer
         decide(event)
     }
 
     /** Settles; [onAnswer] is called with whether the settlement is in the log. */
     public fun settle(event: HomeEvent.Settle, onAnswer: (Boolean) -> Unit) {
         val named = if (event.holder.value.isEmpty()) event.copy(holder = incarnation) else event
-        settling.getOrPut(OpenKey(named.holder, named.request)) { mutableListOf() } += onAnswer
+        settling.getOrPut(OpenKey(named.holder, named.reservation)) { mutableListOf() } += onAnswer
         decide(named)
         if (!reachesLog()) releaseSettling()
     }
@@ -112,9 +112,9 @@
     private fun carryOut(effect: HomeEffect) {
         when (effect) {
             is HomeEffect.Append -> queue += effect.record
-            is HomeEffect.AnswerReserve -> reserving.remove(effect.request)?.invoke(effect.answer)
+            is HomeEffect.AnswerReserve -> reserving.remove(effect.reservation)?.invoke(effect.answer)
             is HomeEffect.AnswerSettle ->
-                settling.remove(OpenKey(effect.holder, effect.request))?.forEach { it(true) }
+                settling.remove(OpenKey(effect.holder, effect.reservation))?.forEach { it(true) }
         }
     }
 
