--- a/router/src/main/kotlin/org/heatherwind/router/peer/PeerExchange.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/PeerExchange.kt
@@ -68,6 +68,9 @@
             .onRight { configuration.learn(it) }
     }
 
+    /** The processes that answered, the last of each instance. */
+    val knownProcesses: Collection<Incarnation> get() = incarnations.values
+
     /** Whether a later process than [process] answered on its instance. */
     fun isReplaced(process: Incarnation): Boolean {
         val seen = incarnations[process.instance] ?: return false
--- a/router/src/main/kotlin/org/heatherwind/router/peer/ProcessWatch.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/ProcessWatch.kt
@@ -10,7 +10,7 @@
 import org.heatherwind.router.shard.ShardRunners
 
 /**
- * Declares processes gone that a followed shard depends on: those whose instance stays off the instance list for
+ * Declares to every followed shard the processes that are gone: those whose instance stays off the instance list for
  * longer than the list lags, and those that a later process on the same instance has replaced.
  */
 internal class ProcessWatch(
@@ -20,6 +20,7 @@
     private val clock: Clock,
 ) {
     private val absentSince = HashMap<InstanceId, Timestamp>()
+    private val departed = LinkedHashSet<Incarnation>()
 
     /** Watches until cancelled. */
     suspend fun run() {
@@ -32,9 +33,12 @@
     private suspend fun watch() {
         val listed = membership.instances.map { it.instance }.toSet()
         absentSince.keys.removeAll(listed)
+        val states = shards.followed.values.mapNotNull { it.state }
+        val known = states.flatMap { KnownProcesses.of(it) } + exchange.knownProcesses
+        departed += known.filter { isGone(it, listed) }
         for (runner in shards.followed.values) {
-            val state = runner.state ?: continue
-            KnownProcesses.of(state).filter { isGone(it, listed) }.forEach { runner.send(HomeEvent.ProcessGone(it)) }
+            val declared = runner.state?.ledger?.gone ?: continue
+            departed.filter { it !in declared }.forEach { runner.send(HomeEvent.ProcessGone(it)) }
         }
     }
 
--- a/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryFleet.kt
+++ b/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryFleet.kt
@@ -15,7 +15,12 @@
 import kotlin.random.Random
 
 /** Routers of one ledger shard under virtual time, with the failures of the ways between them. */
-public class HistoryFleet(seed: Long, private val settings: HomeSettings = HomeSettings()) {
+public class HistoryFleet(
+    seed: Long,
+    private val settings: HomeSettings = HomeSettings(),
+    /** Whether each router is a side of its own, whose requests only it is home to. */
+    private val isDivided: Boolean = false,
+) {
     /** The clock of the history. */
     public val time: VirtualTime = VirtualTime()
 
@@ -106,6 +111,9 @@
     }
 
     internal fun homesFor(entry: HistoryRouter, budget: BudgetId): List<HistoryRouter> =
+        if (isDivided) listOf(entry) else rankedHomes(entry, budget)
+
+    private fun rankedHomes(entry: HistoryRouter, budget: BudgetId): List<HistoryRouter> =
         Rendezvous.rank("home-$budget", routers) { it.instance.value }.take(TRIED_HOMES).let { ranked ->
             if (entry in ranked) ranked else ranked + entry
         }
