--- a/scenarios/src/main/kotlin/org/heatherwind/scenarios/refusals/DemandTrace.kt
+++ b/scenarios/src/main/kotlin/org/heatherwind/scenarios/refusals/DemandTrace.kt
@@ -20,6 +20,10 @@
     public companion object {
         private const val SHIFT_SECONDS = 900.0
         private const val SMALLEST_SIDE = 0.2
+        private const val MEAN_SWING = 1.5
+        private const val LEAST_WORST_TOKENS = 200L
+        private const val MOST_WORST_TOKENS = 1_200L
+        private const val LEAST_USED_TOKENS = 50L
         private const val MILLISECONDS_PER_SECOND = 1_000.0
 
         /** A trace of [seconds] with [requestsPerSecond] over [sides] sides. */
@@ -28,12 +32,12 @@
             val sizes = List(sides) { random.nextDouble(SMALLEST_SIDE, 1.0) }
             val requests = List((seconds * requestsPerSecond).toInt()) {
                 val second = random.nextDouble() * seconds
-                val worst = random.nextLong(200, 1_200)
+                val worst = random.nextLong(LEAST_WORST_TOKENS, MOST_WORST_TOKENS)
                 TracedRequest(
                     atMilliseconds = (second * MILLISECONDS_PER_SECOND).toLong(),
                     side = sideAt(second, sizes, random),
                     worstTokens = worst,
-                    usedTokens = random.nextLong(50, worst + 1),
+                    usedTokens = random.nextLong(LEAST_USED_TOKENS, worst + 1),
                 )
             }
             return DemandTrace(requests.sortedBy { it.atMilliseconds })
@@ -41,7 +45,7 @@
 
         private fun sideAt(second: Double, sizes: List<Double>, random: Random): Int {
             val weights = sizes.mapIndexed { side, size ->
-                size * (1.5 + sin(2 * PI * (second / SHIFT_SECONDS + side.toDouble() / sizes.size)))
+                size * (MEAN_SWING + sin(2 * PI * (second / SHIFT_SECONDS + side.toDouble() / sizes.size)))
             }
             var rest = random.nextDouble() * weights.sum()
             weights.forEachIndexed { side, weight ->
