Release abandoned reservations at the present home, and interrupt a gone entry's requests from the log

Change: HolderGone ends the requests of that entry; releases carry the attempt's end and go to the present first home when the asked one is off the list; a replaced ledger confirms only settlements that can change nothing more.

--- /dev/null
+++ b/benchmarks/src/main/kotlin/org/heatherwind/benchmarks/Ledgers.kt
@@ -0,0 +1,89 @@
+package org.heatherwind.benchmarks
+
+import org.heatherwind.core.home.Home
+import org.heatherwind.core.home.HomeEffect
+import org.heatherwind.core.home.HomeEvent
+import org.heatherwind.core.home.HomeState
+import org.heatherwind.core.identity.BudgetId
+import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Digest
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.RequestKey
+import org.heatherwind.core.identity.ReservationId
+import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.core.ledger.BudgetCreated
+import org.heatherwind.core.ledger.GrantRequested
+import org.heatherwind.core.ledger.KeyAdded
+import org.heatherwind.core.ledger.LedgerBatch
+import org.heatherwind.core.ledger.LedgerFold
+import org.heatherwind.core.ledger.LedgerRecord
+import org.heatherwind.core.ledger.LedgerState
+import org.heatherwind.core.ledger.SettlementOutcome
+import org.heatherwind.core.ledger.ToppedUp
+
+/** Makes ledgers and drives a home over them. */
+internal class Ledgers(private val budgets: Int) {
+    private val holder = Incarnation("router-1@1")
+    private val entry = Incarnation("router-2@1")
+    private val keyDigest = Digest("0".repeat(64))
+    private val names = List(budgets) { BudgetId("customer-$it/budget") }
+    private val home = Home()
+
+    /** A home that holds a grant of each budget. */
+    fun homeState(): HomeState = HomeState(holder, ledger())
+
+    /** A ledger with all budgets created, topped up and granted to the home. */
+    fun ledger(): LedgerState = names.chunked(BATCH_BUDGETS).foldIndexed(LedgerState()) { index, state, chunk ->
+        val batch = LedgerBatch(Incarnation("operator@1"), index + 1L, chunk.flatMap { recordsOf(it) })
+        LedgerFold.fold(state, index.toLong(), batch).state
+    }
+
+    /** Reserves and settles [count] requests over the budgets in turn; returns the records to append. */
+    fun reserveAndSettle(start: HomeState, count: Int): List<LedgerRecord> {
+        var state = start
+        val records = ArrayList<LedgerRecord>()
+        repeat(count) { index ->
+            val budget = names[index % budgets]
+            val reservation = ReservationId("router-2@1/$index/0")
+            val request = RequestKey(reservation.value)
+            val now = Timestamp(index.toLong())
+            val reserved = home.decide(state, reserve(reservation, request, budget, now), now)
+            val settled = home.decide(reserved.state, settle(reservation, request, budget), now)
+            state =
+                settled.state.copy(settling = settled.state.settling.clear(), running = settled.state.running.clear())
+            (reserved.effects + settled.effects).filterIsInstance<HomeEffect.Append>().mapTo(records) { it.record }
+        }
+        return records
+    }
+
+    private fun recordsOf(budget: BudgetId) = listOf(
+        BudgetCreated(budget, CustomerId("customer")),
+        KeyAdded(budget, keyDigest),
+        ToppedUp(budget, PREPAID_TOKENS, "first"),
+        GrantRequested(budget, holder, PREPAID_TOKENS / 2, atLeast = 1, demandPerMinute = 100),
+    )
+
+    private fun reserve(reservation: ReservationId, request: RequestKey, budget: BudgetId, now: Timestamp) =
+        HomeEvent.Reserve(
+            reservation = reservation,
+            request = request,
+            budget = budget,
+            keyDigest = keyDigest,
+            tokens = WORST_TOKENS,
+            entry = entry,
+            waitUntil = now.plusMilliseconds(WAIT_MILLISECONDS),
+            deadline = now.plusMilliseconds(DEADLINE_MILLISECONDS),
+        )
+
+    private fun settle(reservation: ReservationId, request: RequestKey, budget: BudgetId) =
+        HomeEvent.Settle(reservation, request, budget, holder, USED_TOKENS, SettlementOutcome.COMPLETED)
+
+    private companion object {
+        const val WAIT_MILLISECONDS = 2_000L
+        const val DEADLINE_MILLISECONDS = 120_000L
+        const val BATCH_BUDGETS = 100
+        const val PREPAID_TOKENS = 1_000_000_000_000L
+        const val WORST_TOKENS = 600L
+        const val USED_TOKENS = 341L
+    }
+}
--- /dev/null
+++ b/benchmarks/src/main/kotlin/org/heatherwind/benchmarks/Main.kt
@@ -0,0 +1,83 @@
+package org.heatherwind.benchmarks
+
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.ledger.LedgerBatch
+import org.heatherwind.core.ledger.LedgerFold
+import org.heatherwind.core.ledger.toSnapshot
+import org.heatherwind.core.routing.Rendezvous
+import org.heatherwind.protocol.record.RecordCodec
+
+private const val DECISIONS = 50_000
+private val BUDGET_SIZES = listOf(1_000, 4_000, 16_000)
+private val BATCH_SIZES = listOf(8, 64, 512)
+private val FLEET_SIZES = listOf(9, 90, 360)
+private const val MICROSECONDS_PER_SECOND = 1_000_000.0
+private const val RANKINGS = 2_000
+
+/** Measures the costs from whose slopes docs/CAPACITY.md is worked out, and prints them. */
+public fun main() {
+    measureDecisions()
+    measureLedgerMemory()
+    measureRecords()
+    measureRanking()
+}
+
+private fun measureDecisions() {
+    BUDGET_SIZES.forEach { size ->
+        val ledgers = Ledgers(size)
+        val state = ledgers.homeState()
+        val cost = Measurement.microsecondsEach(DECISIONS) { ledgers.reserveAndSettle(state, DECISIONS) }
+        println(
+            "reserve and settle, $size budgets: %.3f microseconds, %.0f pairs a second".format(
+                cost,
+                MICROSECONDS_PER_SECOND / cost,
+            ),
+        )
+    }
+}
+
+private fun measureLedgerMemory() {
+    val points = BUDGET_SIZES.map { size ->
+        Point(size.toDouble(), Measurement.bytesHeld { Ledgers(size).ledger() })
+    }
+    points.forEach { println("ledger of ${it.size.toInt()} budgets: %.0f bytes".format(it.cost)) }
+    println("slope: %.0f bytes a budget".format(Slope.through(points).perUnit))
+    val snapshots = BUDGET_SIZES.map { size ->
+        val bytes = RecordCodec.ledgerSnapshot.encode(Ledgers(size).ledger().toSnapshot()).size
+        Point(size.toDouble(), bytes.toDouble())
+    }
+    println("snapshot: %.0f bytes a budget".format(Slope.through(snapshots).perUnit))
+}
+
+private fun measureRecords() {
+    val ledgers = Ledgers(budgets = 1_000)
+    val start = ledgers.homeState()
+    val points = BATCH_SIZES.map { size ->
+        val records = ledgers.reserveAndSettle(start, size)
+        val batch = LedgerBatch(Incarnation("router-1@1"), 1, records)
+        val bytes = RecordCodec.ledgerBatch.encode(batch)
+        val encoding = Measurement.microsecondsEach(RANKINGS * size) {
+            repeat(RANKINGS) { RecordCodec.ledgerBatch.encode(batch) }
+        }
+        val folding = Measurement.microsecondsEach(RANKINGS * size) {
+            repeat(RANKINGS) { index ->
+                RecordCodec.ledgerBatch.decode(bytes)
+                LedgerFold.fold(start.ledger, start.ledger.through + 1, batch.copy(sequence = index + 1L))
+            }
+        }
+        println("batch of $size requests: ${bytes.size} bytes")
+        println("  encode %.2f, decode and fold %.2f microseconds a request".format(encoding, folding))
+        Point(size.toDouble(), bytes.size.toDouble())
+    }
+    println("slope: %.0f bytes a request".format(Slope.through(points).perUnit))
+}
+
+private fun measureRanking() {
+    FLEET_SIZES.forEach { size ->
+        val routers = List(size) { "router-$it" }
+        val cost = Measurement.microsecondsEach(RANKINGS) {
+            repeat(RANKINGS) { Rendezvous.rank("shard-$it", routers) { name -> name } }
+        }
+        println("ranking of $size routers: %.1f microseconds".format(cost))
+    }
+}
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeEffect.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeEffect.kt
@@ -14,8 +14,8 @@
     /** Answer [reservation]. */
     public data class AnswerReserve(val reservation: ReservationId, val answer: ReserveAnswer) : HomeEffect
 
-    /** Tell the entry of [reservation] under the grant of [holder] that its settlement is in the log. */
-    public data class AnswerSettle(val holder: Incarnation, val reservation: ReservationId) : HomeEffect
+    /** Tell the entry of [reservation] that its settlement is in the log. */
+    public data class AnswerSettle(val reservation: ReservationId) : HomeEffect
 }
 
 /** The answer to a reservation. */
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeEvent.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeEvent.kt
@@ -30,12 +30,15 @@
         val claim: AttemptClaim? = null,
     ) : HomeEvent
 
-    /** An entry reports how a request ended that ran under the grant of [holder]. */
+    /**
+     * An entry reports how a request ended that ran under the grant of [holder]; null when the entry never learned
+     * whether and by whom the tokens were reserved.
+     */
     public data class Settle(
         val reservation: ReservationId,
         val request: RequestKey,
         val budget: BudgetId,
-        val holder: Incarnation,
+        val holder: Incarnation?,
         val charged: Long,
         val outcome: SettlementOutcome,
         val attemptEnd: AttemptEnd? = null,
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeReading.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeReading.kt
@@ -27,7 +27,7 @@
     is LedgerEvent.ReturnFolded -> reactToReturn(event)
     is LedgerEvent.SettlementFolded -> reactToSettlement(event)
     is LedgerEvent.ClaimDecided -> reactToClaim(event)
-    is LedgerEvent.HolderQuarantined -> Unit
+    is LedgerEvent.HolderQuarantined -> interruptRequestsOf { it.entry == event.holder }
 }
 
 private fun HomeDraft.reactToWant(event: LedgerEvent.WantDecided) {
@@ -106,11 +106,16 @@
             LedgerEvent.ClaimDecided(held.claim.attempt, reservation, won = attempt.reservation == reservation),
         )
     }
+    interruptRequestsOf { it.entry in ledger.gone }
     for (budget in state.holdings.keys) {
         changeHolding(budget) { copy(isWantPending = false) }
         afterBudgetChange(budget)
     }
 }
 
-private fun HomeDraft.isFolded(record: RequestSettled): Boolean =
-    record.outcome == SettlementOutcome.NOT_RUN || record.request in state.ledger.settled
+/** Whether [record] was folded, or will change nothing when it is. */
+private fun HomeDraft.isFolded(record: RequestSettled): Boolean {
+    if (record.outcome == SettlementOutcome.NOT_RUN) return true
+    val settled = state.ledger.settled[record.request] ?: return false
+    return settled.outcome == SettlementOutcome.COMPLETED || settled.outcome == record.outcome
+}
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeSettlements.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeSettlements.kt
@@ -1,5 +1,6 @@
 package org.heatherwind.core.home
 
+import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.ledger.AttemptFinished
 import org.heatherwind.core.ledger.AttemptOutcome
@@ -10,15 +11,19 @@
 import org.heatherwind.core.result.ResultCode
 
 internal fun HomeDraft.settle(event: HomeEvent.Settle) {
-    val key = OpenKey(event.holder, event.reservation)
+    val key = OpenKey(event.holder ?: holderOf(event.reservation), event.reservation)
     if (key in state.settling) return
     val held = heldUnder(key)
     if (held == null && isAlreadyBilled(event)) return confirm(key)
     val charged = if (held == null) maxOf(event.charged, 0) else event.charged.coerceIn(0, held.reserved)
-    close(RequestSettled(event.budget, event.holder, event.reservation, event.request, charged, event.outcome))
+    close(RequestSettled(event.budget, key.holder, event.reservation, event.request, charged, event.outcome))
     event.attemptEnd?.let { append(AttemptFinished(it.attempt, event.reservation, it.outcome)) }
 }
 
+/** The holder that reserved, for an entry that got no answer: the one that the log names, or this home. */
+private fun HomeDraft.holderOf(reservation: ReservationId): Incarnation =
+    state.ledger.open.keys.firstOrNull { it.reservation == reservation }?.holder ?: state.holder
+
 internal fun HomeDraft.close(record: RequestSettled) {
     val key = OpenKey(record.holder, record.reservation)
     val held = heldUnder(key)
@@ -83,5 +88,5 @@
 )
 
 internal fun HomeDraft.confirm(key: OpenKey) {
-    effects += HomeEffect.AnswerSettle(key.holder, key.reservation)
+    effects += HomeEffect.AnswerSettle(key.reservation)
 }
--- a/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
@@ -112,7 +112,7 @@
         shards = ShardRunners(scope) { createRunner(it) }
         listeners.startPeers(HomeService(shards, logService) { exchange.answer(it) })
         membership = Membership(ownEntry(), list)
-        val abandoned = AbandonedReservations(membership, connections)
+        val abandoned = AbandonedReservations(shards, membership, connections)
         val homes = HomeClient(shards, settings.ledgerShards, membership, connections, abandoned, clock)
         settlements = SettlementKeeper(homes, clock)
         val peers = PeerExchange(incarnation, membership, connections, configuration)
--- a/router/src/main/kotlin/org/heatherwind/router/peer/AbandonedReservations.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/AbandonedReservations.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import org.heatherwind.core.home.HomeEvent
 import org.heatherwind.platform.instances.ListedInstance
+import org.heatherwind.router.shard.ShardRunners
 import java.util.concurrent.TimeUnit
 
 /** A reservation that a home may have made and whose answer never came; [release] undoes it. */
@@ -14,25 +15,36 @@
  * Tells homes, until they answer or are gone, that a reservation of theirs was never used. Without it a home would
  * count the tokens as reserved, although the caller was told that the request did not run.
  */
-internal class AbandonedReservations(private val membership: Membership, private val connections: PeerConnections) {
+internal class AbandonedReservations(
+    private val shards: ShardRunners,
+    private val membership: Membership,
+    private val connections: PeerConnections,
+) {
     private val queue = Channel<AbandonedReservation>(Channel.UNLIMITED)
 
     fun add(reservation: AbandonedReservation) {
         queue.trySend(reservation)
     }
 
-    /** Releases reservations until cancelled. */
+    /** Releases reservations until cancelled; in place of a home that is gone, the present first home is told. */
     suspend fun run() {
         for (reservation in queue) {
             val isListed = membership.instances.any { it.instance == reservation.home.instance }
-            if (!isListed || release(reservation)) continue
+            val home = if (isListed) reservation.home else membership.homesOf(reservation.shard).first()
+            if (release(home, reservation)) continue
             delay(RETRY_MILLISECONDS)
             add(reservation)
         }
     }
 
-    private suspend fun release(reservation: AbandonedReservation): Boolean = try {
-        connections.at(reservation.home.peerAddress)
+    private suspend fun release(home: ListedInstance, reservation: AbandonedReservation): Boolean {
+        if (!membership.isSelf(home.instance)) return releaseRemotely(home, reservation)
+        shards.of(reservation.shard).send(reservation.release)
+        return true
+    }
+
+    private suspend fun releaseRemotely(home: ListedInstance, reservation: AbandonedReservation): Boolean = try {
+        connections.at(home.peerAddress)
             .withDeadlineAfter(CALL_MILLISECONDS, TimeUnit.MILLISECONDS)
             .settle(reservation.release.toMessage(reservation.shard))
         true
--- a/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
@@ -3,11 +3,13 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.grpc.Status
 import io.grpc.StatusException
+import org.heatherwind.core.home.AttemptEnd
 import org.heatherwind.core.home.HomeEvent
 import org.heatherwind.core.home.ReserveAnswer
 import org.heatherwind.core.identity.Clock
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.ReservationId
+import org.heatherwind.core.ledger.AttemptOutcome
 import org.heatherwind.core.ledger.SettlementOutcome
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.routing.Rendezvous
@@ -71,9 +73,9 @@
     private fun isClosedHome(answer: ReserveAnswer): Boolean = answer is ReserveAnswer.Refused &&
         (answer.code == ResultCode.ROUTER_DRAINING || answer.code == ResultCode.ROUTER_NOT_READY)
 
-    private fun settlementHomes(shard: Int, holder: Incarnation): List<ListedInstance> {
+    private fun settlementHomes(shard: Int, holder: Incarnation?): List<ListedInstance> {
         val homes = membership.homesOf(shard)
-        return (homes.filter { it.instance == holder.instance } + homes).distinct().take(SETTLEMENT_HOMES)
+        return (homes.filter { it.instance == holder?.instance } + homes).distinct().take(SETTLEMENT_HOMES)
     }
 
     private suspend fun reserveRemotely(home: ListedInstance, shard: Int, event: HomeEvent.Reserve): ReserveAnswer? {
@@ -90,9 +92,10 @@
         reservation = event.reservation,
         request = event.request,
         budget = event.budget,
-        holder = Incarnation(""),
+        holder = null,
         charged = 0,
         outcome = SettlementOutcome.NOT_RUN,
+        attemptEnd = event.claim?.let { AttemptEnd(it.attempt, AttemptOutcome.NotRun) },
     )
 
     private suspend fun <T> calling(
--- a/router/src/main/kotlin/org/heatherwind/router/peer/PeerMessages.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/PeerMessages.kt
@@ -78,7 +78,7 @@
         .setReservation(reservation.value)
         .setRequest(request.value)
         .setBudget(budget.value)
-        .setHolder(holder.value)
+        .setHolder(holder?.value.orEmpty())
         .setCharged(charged)
         .setOutcome(outcome.ordinal)
     attemptEnd?.let { builder.setAttemptEnd(it.toMessage()) }
@@ -89,7 +89,7 @@
     reservation = ReservationId(reservation),
     request = RequestKey(request),
     budget = BudgetId(budget),
-    holder = Incarnation(holder),
+    holder = holder.ifEmpty { null }?.let(::Incarnation),
     charged = charged,
     outcome = SettlementOutcome.entries.getOrElse(outcome) { SettlementOutcome.INTERRUPTED },
     attemptEnd = if (hasAttemptEnd()) attemptEnd.toEnd() else null,
--- a/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
@@ -18,7 +18,6 @@
 import org.heatherwind.core.identity.ReservationId
 import org.heatherwind.core.ledger.LedgerRecord
 import org.heatherwind.core.ledger.LedgerSnapshot
-import org.heatherwind.core.ledger.OpenKey
 import org.heatherwind.core.ledger.SnapshotTaken
 import org.heatherwind.core.ledger.toSnapshot
 import org.heatherwind.core.result.ResultCode
@@ -45,7 +44,7 @@
     private val appender = ShardAppender(holder, stream, log, batchIntervalMilliseconds)
     private val reader = ShardReader(stream, log, fetchFromPeer)
     private val reserving = HashMap<ReservationId, CompletableDeferred<ReserveAnswer>>()
-    private val settling = HashMap<OpenKey, MutableList<CompletableDeferred<Boolean>>>()
+    private val settling = HashMap<ReservationId, MutableList<CompletableDeferred<Boolean>>>()
     private val loaded = CompletableDeferred<Unit>()
 
     private var currentThrough = Long.MAX_VALUE
@@ -85,8 +84,7 @@
     public suspend fun settle(event: HomeEvent.Settle): Boolean {
         awaitLoaded()
         val answer = CompletableDeferred<Boolean>()
-        val named = if (event.holder.value.isEmpty()) event.copy(holder = holder) else event
-        inbox.send(ShardMessage.Settling(named, answer))
+        inbox.send(ShardMessage.Settling(event, answer))
         return answer.await()
     }
 
@@ -159,8 +157,7 @@
     }
 
     private fun handleSettle(message: ShardMessage.Settling) {
-        val key = OpenKey(message.event.holder, message.event.reservation)
-        settling.getOrPut(key) { mutableListOf() } += message.answer
+        settling.getOrPut(message.event.reservation) { mutableListOf() } += message.answer
         decide(message.event)
         if (appender.isFailing) releaseSettling()
     }
@@ -190,7 +187,7 @@
             is HomeEffect.AnswerReserve -> reserving.remove(effect.reservation)?.complete(effect.answer)
 
             is HomeEffect.AnswerSettle ->
-                settling.remove(OpenKey(effect.holder, effect.reservation))?.forEach { it.complete(true) }
+                settling.remove(effect.reservation)?.forEach { it.complete(true) }
         }
     }
 
--- a/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryFleet.kt
+++ b/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryFleet.kt
@@ -99,6 +99,10 @@
     /** Tokens that running requests may still use. */
     public fun exposedTokens(): Long = requests.filterKeys { !it.isDead }.values.flatten().sumOf { it.exposed }
 
+    /** [home], or the present first home when [home] is off the instance list. */
+    internal fun standInFor(home: HistoryRouter, demand: HistoryDemand): HistoryRouter =
+        if (home in routers) home else rankedHomes(live.first(), demand.budget).first()
+
     internal fun nextNumber(): Long = ++numbers
 
     internal fun isConnected(one: HistoryRouter, other: HistoryRouter): Boolean =
--- a/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryRequest.kt
+++ b/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryRequest.kt
@@ -151,12 +151,14 @@
     }
 
     private fun abandon(home: HistoryRouter, reservation: ReservationId) {
-        val release = settlement(Incarnation(""), reservation, 0, SettlementOutcome.NOT_RUN, AttemptOutcome.NotRun)
+        val release = settlement(null, reservation, 0, SettlementOutcome.NOT_RUN, AttemptOutcome.NotRun)
         var isAnswered = false
         fleet.send(entry, home) {
             home.settle(release) { fleet.send(home, entry) { isAnswered = true } }
         }
-        time.after(SETTLE_MILLISECONDS) { entry.act { if (!isAnswered && !home.isDead) abandon(home, reservation) } }
+        time.after(SETTLE_MILLISECONDS) {
+            entry.act { if (!isAnswered) abandon(fleet.standInFor(home, demand), reservation) }
+        }
     }
 
     private fun end(how: HistoryEnd) {
@@ -179,7 +181,7 @@
     )
 
     private fun settlement(
-        holder: Incarnation,
+        holder: Incarnation?,
         reservation: ReservationId,
         charged: Long,
         outcome: SettlementOutcome,
--- a/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryRouter.kt
+++ b/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryRouter.kt
@@ -12,7 +12,6 @@
 import org.heatherwind.core.ledger.LedgerBatch
 import org.heatherwind.core.ledger.LedgerRecord
 import org.heatherwind.core.ledger.LedgerState
-import org.heatherwind.core.ledger.OpenKey
 import org.heatherwind.core.ledger.SnapshotTaken
 import org.heatherwind.core.ledger.toSnapshot
 import kotlin.random.Random
@@ -35,7 +34,7 @@
     private var sequence = 0L
     private var pausedUntil = time.now
     private val reserving = HashMap<ReservationId, (ReserveAnswer) -> Unit>()
-    private val settling = HashMap<OpenKey, MutableList<(Boolean) -> Unit>>()
+    private val settling = HashMap<ReservationId, MutableList<(Boolean) -> Unit>>()
 
     /** Its process. */
     public val incarnation: Incarnation = Incarnation.of(instance, time.now)
@@ -86,9 +85,8 @@
 
     /** Settles; [onAnswer] is called with whether the settlement is in the log. */
     public fun settle(event: HomeEvent.Settle, onAnswer: (Boolean) -> Unit) {
-        val named = if (event.holder.value.isEmpty()) event.copy(holder = incarnation) else event
-        settling.getOrPut(OpenKey(named.holder, named.reservation)) { mutableListOf() } += onAnswer
-        decide(named)
+        settling.getOrPut(event.reservation) { mutableListOf() } += onAnswer
+        decide(event)
         if (!reachesLog()) releaseSettling()
     }
 
@@ -116,7 +114,7 @@
             is HomeEffect.AnswerReserve -> reserving.remove(effect.reservation)?.invoke(effect.answer)
 
             is HomeEffect.AnswerSettle ->
-                settling.remove(OpenKey(effect.holder, effect.reservation))?.forEach { it(true) }
+                settling.remove(effect.reservation)?.forEach { it(true) }
         }
     }
 
