Charge an interruption no more than its grant has left

A home that was also the entry died in an outage of the log. One of its requests had ended at less than its worst case, and the rest had been reserved again; both were then charged their worst case, 22 tokens more than the grant. Ruled out: releases (none in that history) and replaced ledgers (the same history with the earlier rule fails too). Change: the fold caps the charge of an interruption at what its grant has left; requests under one grant never use more.

--- a/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerFold.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/ledger/LedgerFold.kt
@@ -85,14 +85,26 @@
         events += LedgerEvent.SettlementFolded(record, applied)
         if (!applied) return closed.changingBudget(record.budget, events) { this }
         val billed = settled[record.request]?.charged ?: 0
+        val charged = chargeOf(record)
         return closed
             .copy(
                 settled = settled.put(
                     record.request,
-                    SettledRequest(record.outcome, record.charged, record.reservation.entry),
+                    SettledRequest(record.outcome, charged, record.reservation.entry),
                 ),
             )
-            .changingBudget(record.budget, events) { billing(record.holder, billed, record.charged) }
+            .changingBudget(record.budget, events) { billing(record.holder, billed, charged) }
+    }
+
+    /**
+     * An interruption is charged its worst case, but no more than its grant has left: the holder may have used again
+     * what a request of its own left over, and its requests together never use more than the grant.
+     */
+    private fun LedgerState.chargeOf(record: RequestSettled): Long = when (record.outcome) {
+        SettlementOutcome.INTERRUPTED ->
+            minOf(record.charged, budgets.getValue(record.budget).remainingOf(record.holder))
+
+        SettlementOutcome.COMPLETED, SettlementOutcome.NOT_RUN -> record.charged
     }
 
     private fun LedgerState.isBillable(record: RequestSettled): Boolean {
--- a/core/src/test/kotlin/org/heatherwind/core/ledger/LedgerFoldTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/ledger/LedgerFoldTest.kt
@@ -80,6 +80,12 @@
             available = 0,
             shortfall = 30,
         ),
+        Case(
+            "an interruption beyond its grant is charged what the grant has left",
+            listOf(want(one, 80, 80), bill("a", 30), bill("b", 70, SettlementOutcome.INTERRUPTED)),
+            spent = 80,
+            available = 20,
+        ),
         Case(
             "a quarantined grant is not available",
             listOf(want(one, 80, 80), HolderGone(one, Timestamp(1))),
