--- /dev/null
+++ b/benchmarks/src/main/kotlin/org/heatherwind/benchmarks/AddedLatency.kt
@@ -0,0 +1,58 @@
+package org.heatherwind.benchmarks
+
+import org.HdrHistogram.Histogram
+import org.heatherwind.operator.client.CallerClient
+import org.heatherwind.operator.demonstration.LocalFleet
+import org.heatherwind.operator.demonstration.LocalPlatform
+import org.heatherwind.standins.targets.EngineBehaviour
+
+/** Measures the time to the first piece of an answer, direct and through a router, in turn in one run. */
+internal class AddedLatency {
+    private val direct = Histogram(HIGHEST_MICROSECONDS, DIGITS)
+    private val routed = Histogram(HIGHEST_MICROSECONDS, DIGITS)
+
+    suspend fun measure() = LocalFleet(LocalPlatform.start()).use { fleet ->
+        repeat(ROUTERS) { fleet.startRouter("router-$it") }
+        fleet.configure()
+        fleet.platform.engines.forEach {
+            it.behaviour =
+                EngineBehaviour(firstTokenMilliseconds = 0, tokenMilliseconds = 0)
+        }
+        val key = fleet.createBudget("studio", tokens = 1_000_000_000)
+        CallerClient().use { client ->
+            repeat(WARM_UPS + REQUESTS) { index ->
+                if (index == WARM_UPS) listOf(direct, routed).forEach { it.reset() }
+                time(client, fleet.platform.engineAddresses.random(), key, index, direct)
+                time(client, fleet.routers.random().callerAddress, key, index, routed)
+            }
+        }
+        print()
+    }
+
+    private suspend fun time(client: CallerClient, address: String, key: String, index: Int, into: Histogram) {
+        val startedAt = System.nanoTime()
+        client.chat(address, key, LocalPlatform.MODEL, "request $index", ANSWER_TOKENS) {
+            into.recordValue((System.nanoTime() - startedAt) / NANOSECONDS_PER_MICROSECOND)
+        }
+    }
+
+    private fun print() {
+        for (percentile in PERCENTILES) {
+            val one = direct.getValueAtPercentile(percentile)
+            val other = routed.getValueAtPercentile(percentile)
+            val ratio = "%.2f".format(other.toDouble() / one)
+            println("first piece, p$percentile: direct $one, through a router $other microseconds, ratio $ratio")
+        }
+    }
+
+    private companion object {
+        val PERCENTILES = listOf(50.0, 95.0, 99.0)
+        const val ROUTERS = 3
+        const val WARM_UPS = 1_500
+        const val REQUESTS = 3_000
+        const val ANSWER_TOKENS = 16
+        const val HIGHEST_MICROSECONDS = 60_000_000L
+        const val DIGITS = 3
+        const val NANOSECONDS_PER_MICROSECOND = 1_000L
+    }
+}
--- a/benchmarks/src/main/kotlin/org/heatherwind/benchmarks/Main.kt
+++ b/benchmarks/src/main/kotlin/org/heatherwind/benchmarks/Main.kt
@@ -1,11 +1,13 @@
 package org.heatherwind.benchmarks
 
+import kotlinx.coroutines.runBlocking
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.ledger.LedgerBatch
 import org.heatherwind.core.ledger.LedgerFold
 import org.heatherwind.core.ledger.toSnapshot
 import org.heatherwind.core.routing.Rendezvous
 import org.heatherwind.protocol.record.RecordCodec
+import kotlin.system.exitProcess
 
 private const val DECISIONS = 50_000
 private val BUDGET_SIZES = listOf(1_000, 4_000, 16_000)
@@ -16,10 +18,12 @@
 
 /** Measures the costs from whose slopes docs/CAPACITY.md is worked out, and prints them. */
 public fun main() {
-    measureDecisions()
     measureLedgerMemory()
+    measureDecisions()
     measureRecords()
     measureRanking()
+    runBlocking { AddedLatency().measure() }
+    exitProcess(0)
 }
 
 private fun measureDecisions() {
--- a/benchmarks/src/main/kotlin/org/heatherwind/benchmarks/Measurement.kt
+++ b/benchmarks/src/main/kotlin/org/heatherwind/benchmarks/Measurement.kt
@@ -22,6 +22,7 @@
 
     /** Bytes that [create] leaves reachable. */
     fun <T> bytesHeld(create: () -> T): Double {
+        create()
         val before = usedBytes()
         val held = create()
         val after = usedBytes()
--- a/core/src/main/kotlin/org/heatherwind/core/home/DemandForecast.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/DemandForecast.kt
@@ -16,6 +16,7 @@
 
     /** Tokens a second expected at [now]. */
     public fun rateAt(now: Timestamp): Double {
+        if (now == updatedAt) return tokensPerSecond
         val seconds = now.millisecondsSince(updatedAt).coerceAtLeast(0) / MILLISECONDS_PER_SECOND
         return tokensPerSecond * exp(-seconds / SMOOTHING_SECONDS)
     }
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeGrants.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeGrants.kt
@@ -32,6 +32,8 @@
     val holding = state.holdings[budget] ?: return
     if (holding.isWantPending || account.available <= 0) return
     val free = state.freeOf(budget)
+    val horizon = holding.demand.tokensOver(settings.refillHorizonSeconds, now)
+    if (!GrantSizing.isLow(free, horizon)) return
     val target = GrantSizing.targetSize(account, state.holder, holding.demand, need = 0, SizingPlan(settings, now))
     if (!GrantSizing.isLow(free, target)) return
     val wanted = minOf(target - free, account.available)
--- a/core/src/main/kotlin/org/heatherwind/core/home/HomeReservations.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/home/HomeReservations.kt
@@ -11,12 +11,13 @@
 internal fun HomeDraft.reserve(event: HomeEvent.Reserve) {
     val refusal = refusalOf(event)
     if (refusal != null) return answer(event.reservation, refusal)
-    changeHolding(event.budget) { copy(demand = demand.plus(event.tokens, now)) }
     if (state.freeOf(event.budget) >= event.tokens) {
-        admit(event)
+        admit(event, demanded = event.tokens)
         refillAhead(event.budget)
     } else {
-        changeHolding(event.budget) { copy(waiting = waiting.add(WaitingReserve(event))) }
+        changeHolding(event.budget) {
+            copy(demand = demand.plus(event.tokens, now), waiting = waiting.add(WaitingReserve(event)))
+        }
         serveWaiting(event.budget)
     }
 }
@@ -56,7 +57,8 @@
     }
 }
 
-internal fun HomeDraft.admit(event: HomeEvent.Reserve) {
+/** Admits [event]; [demanded] tokens of it are new to the forecast of demand. */
+internal fun HomeDraft.admit(event: HomeEvent.Reserve, demanded: Long = 0) {
     val held = HeldRequest(
         request = event.request,
         budget = event.budget,
@@ -71,7 +73,10 @@
         open = state.open.put(event.reservation, held),
         running = state.running.put(event.request, event.reservation),
     )
-    changeHolding(event.budget) { copy(committed = committed + event.tokens) }
+    changeHolding(event.budget) {
+        val forecast = if (demanded > 0) demand.plus(demanded, now) else demand
+        copy(committed = committed + event.tokens, demand = forecast)
+    }
     append(openedRecord(event))
     when (val claim = event.claim) {
         null -> answer(event.reservation, ReserveAnswer.Reserved(state.holder))
--- a/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
@@ -43,6 +43,7 @@
 import org.heatherwind.router.settings.RouterSettings
 import org.heatherwind.router.shard.ShardRunner
 import org.heatherwind.router.shard.ShardRunners
+import org.heatherwind.router.shard.SnapshotKeeper
 import org.heatherwind.router.telemetry.RouterMetrics
 
 private val logger = KotlinLogging.logger("router")
@@ -116,6 +117,7 @@
         val homes = HomeClient(shards, settings.ledgerShards, membership, connections, abandoned, clock)
         settlements = SettlementKeeper(homes, clock)
         val peers = PeerExchange(incarnation, membership, connections, configuration)
+        val snapshots = SnapshotKeeper(shards, membership, configuration, settings.snapshotIntervalRecords)
         val watch = ProcessWatch(shards, membership, peers, clock)
         exchange.exchange = peers
         callers = createCallers(homes)
@@ -123,7 +125,15 @@
         listeners.startCallers { callers.routes(this) }
         listeners.startOperators { createOperators().routes(this) }
         registerGauges()
-        listOf(membership::run, configuration::run, abandoned::run, settlements::run, peers::run, watch::run)
+        listOf(
+            membership::run,
+            configuration::run,
+            abandoned::run,
+            settlements::run,
+            peers::run,
+            watch::run,
+            snapshots::run,
+        )
             .forEach { loop -> scope.launch { loop() } }
         logger.info { "router: $incarnation serves callers on port $callerPort" }
     }
--- a/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
@@ -54,6 +54,12 @@
     public var state: HomeState? = null
         private set
 
+    /** Records read since the newest snapshot in the stream. */
+    public val recordsSinceSnapshot: Long get() = (state?.ledger?.through ?: 0) - newestSnapshot
+
+    @Volatile
+    private var newestSnapshot = 0L
+
     /** Whether the log service takes no appends at present. */
     public val isLogFailing: Boolean get() = appender.isFailing
 
@@ -111,6 +117,7 @@
             inbox.send(ShardMessage.Loaded(initial))
             reader.follow(initial.ledger.through) { offset, batch ->
                 inbox.send(ShardMessage.Happened(HomeEvent.BatchRead(offset, batch)))
+                if (batch.records.any { it is SnapshotTaken }) newestSnapshot = offset
                 if (batch.writer == holder) appender.readBack = maxOf(appender.readBack, batch.sequence)
             }
             logger.warn { "shard: shard $shard fell behind the log's retention and is loaded anew" }
