Let the demonstration's callers repeat a request whose answering router died

Its router had died between the settlement and the end of the answer, and its death was not known yet; the demonstration's caller took the code for final. Ruled out: the homes, which serve such a request again once the death is in the log. The test and its bound stay. Conclusion: the code is final only where the router that answered still runs.

--- a/operator/src/main/kotlin/org/heatherwind/operator/demonstration/DemonstrationCaller.kt
+++ b/operator/src/main/kotlin/org/heatherwind/operator/demonstration/DemonstrationCaller.kt
@@ -80,7 +80,6 @@
         const val RETRY_MILLISECONDS = 250L
         val FINAL_CODES = setOf(
             ResultCode.BUDGET_EXHAUSTED,
-            ResultCode.REQUEST_ALREADY_ANSWERED,
             ResultCode.ATTEMPT_OUTCOME_UNKNOWN,
         )
     }
