Keep an unknown outcome unknown when later targets refuse

Cause: read in review: a chat completion that failed on one target after it was sent, and was then refused by the next, was reported by the last code, so the caller could be told 'not run' although the first target may have run it. Change: once a try may have run, its code stays. Two unused functions, a wrong comment and a qualified name go.

--- a/operator/src/test/kotlin/org/heatherwind/operator/demonstration/BadInputTest.kt
+++ b/operator/src/test/kotlin/org/heatherwind/operator/demonstration/BadInputTest.kt
@@ -8,6 +8,7 @@
 import org.heatherwind.operator.client.CallerClient
 import org.heatherwind.operator.client.CallerResult
 import org.heatherwind.platform.HttpClients
+import org.heatherwind.standins.targets.EngineBehaviour
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -68,6 +69,22 @@
         }
     }
 
+    @Test
+    fun `a request that failed on one target is not called not run when the next ones refuse it`() = runBlocking<Unit> {
+        LocalFleet(LocalPlatform.start()).use { fleet ->
+            val router = fleet.startRouter("router-1")
+            fleet.configure()
+            val key = fleet.createBudget("studio", tokens = 600)
+            fleet.platform.engines.forEachIndexed { index, engine ->
+                engine.behaviour =
+                    if (index == 0) EngineBehaviour(cutsAfterTokens = 0) else EngineBehaviour(refuses = true)
+            }
+            val answer = CallerClient().use { it.chat(router.callerAddress, key, LocalPlatform.MODEL, "hello", 16) }
+            assertEquals(1, fleet.platform.engines.first().runCount)
+            assertEquals(CallerResult.Refused(ResultCode.TARGET_FAILED), answer)
+        }
+    }
+
     @Test
     fun `a reused idempotency key with another body is refused, with the same body replayed`() = runBlocking<Unit> {
         LocalFleet(LocalPlatform.start()).use { fleet ->
--- a/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/RouterProcess.kt
@@ -18,6 +18,7 @@
 import org.heatherwind.platform.instances.ListedInstance
 import org.heatherwind.platform.log.HttpLogService
 import org.heatherwind.platform.log.LogService
+import org.heatherwind.protocol.peer.ExchangeMessage
 import org.heatherwind.router.configuration.ConfigurationKeeper
 import org.heatherwind.router.entry.CallerServer
 import org.heatherwind.router.entry.ChatHandler
@@ -251,5 +252,5 @@
 private class PeerExchangeHolder {
     lateinit var exchange: PeerExchange
 
-    fun answer(message: org.heatherwind.protocol.peer.ExchangeMessage) = exchange.answer(message)
+    fun answer(message: ExchangeMessage) = exchange.answer(message)
 }
--- a/router/src/main/kotlin/org/heatherwind/router/entry/ChatHandler.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/entry/ChatHandler.kt
@@ -84,7 +84,7 @@
         while (tried.size < MAXIMUM_TRIES) {
             val code = tryOnce(call, work, grant, tried) ?: break
             if (code == ResultCode.COMPLETED) return
-            refusal = code
+            if (refusal.isNotRun) refusal = code
             if (tried.size < MAXIMUM_TRIES) context.metrics.countRetry(work.service.name.value)
         }
         val outcome = if (refusal.isNotRun) SettlementOutcome.NOT_RUN else SettlementOutcome.INTERRUPTED
--- a/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
@@ -99,7 +99,7 @@
         inbox.send(ShardMessage.Happened(event))
     }
 
-    /** Appends [record] and waits until it is in the log. */
+    /** Queues [record] for the next append, once a state was loaded. */
     public suspend fun append(record: LedgerRecord) {
         awaitLoaded()
         appender.enqueue(record)
--- a/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryFleet.kt
+++ b/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryFleet.kt
@@ -96,9 +96,6 @@
         if (!isOpen) live.forEach { peer -> peer.act { peer.decide(HomeEvent.AccountsClosed(gone)) } }
     }
 
-    /** Tokens that running requests may still use. */
-    public fun exposedTokens(): Long = requests.filterKeys { !it.isDead }.values.flatten().sumOf { it.exposed }
-
     /** [home], or the present first home when [home] is off the instance list. */
     internal fun standInFor(home: HistoryRouter, demand: HistoryDemand): HistoryRouter =
         if (home in routers) home else rankedHomes(live.first(), demand.budget).first()
--- a/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryLog.kt
+++ b/scenarios/src/main/kotlin/org/heatherwind/scenarios/history/HistoryLog.kt
@@ -1,6 +1,5 @@
 package org.heatherwind.scenarios.history
 
-import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.ledger.LedgerBatch
 import org.heatherwind.core.ledger.LedgerFold
 import org.heatherwind.core.ledger.LedgerState
@@ -49,7 +48,4 @@
     /** The state of the newest snapshot that is kept. */
     public fun newestSnapshot(): LedgerState =
         batches.flatMap { it.records }.filterIsInstance<SnapshotTaken>().last().snapshot.toState()
-
-    /** Batches that [writer] has appended, repeats included. */
-    public fun countOf(writer: Incarnation): Int = batches.count { it.writer == writer }
 }
