--- a/platform/src/main/kotlin/org/heatherwind/platform/HttpClients.kt
+++ b/clients/src/main/kotlin/org/heatherwind/clients/HttpClients.kt
@@ -1,4 +1,4 @@
-package org.heatherwind.platform
+package org.heatherwind.clients
 
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
--- a/platform/src/main/kotlin/org/heatherwind/platform/instances/InstanceList.kt
+++ b/clients/src/main/kotlin/org/heatherwind/clients/instances/InstanceList.kt
@@ -1,4 +1,4 @@
-package org.heatherwind.platform.instances
+package org.heatherwind.clients.instances
 
 import arrow.core.Either
 import kotlinx.serialization.Serializable
--- a/platform/src/main/kotlin/org/heatherwind/platform/log/LogMessages.kt
+++ b/clients/src/main/kotlin/org/heatherwind/clients/log/LogMessages.kt
@@ -1,4 +1,4 @@
-package org.heatherwind.platform.log
+package org.heatherwind.clients.log
 
 import kotlinx.serialization.Serializable
 
--- /dev/null
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -0,0 +1,77 @@
+package org.heatherwind.core.escrow
+
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.Moment
+
+/**
+ * How much of a budget a router should hold.
+ *
+ * @property coverMilliseconds demand that a holding should last for without the store
+ * @property headroom factor on the demand, for its unevenness
+ * @property minimumTokens smallest holding worth asking for
+ */
+public data class GrantPolicy(
+    val coverMilliseconds: Long = DEFAULT_COVER_MILLISECONDS,
+    val headroom: Double = DEFAULT_HEADROOM,
+    val minimumTokens: Long = DEFAULT_MINIMUM_TOKENS,
+) {
+    /** Tokens that [holding] should have available at [now]. */
+    public fun desiredTokens(holding: BudgetHolding, now: Moment): Long =
+        (holding.demandPerSecond(now) * coverMilliseconds / MILLISECONDS_PER_SECOND * headroom).toLong()
+            .coerceAtLeast(minimumTokens)
+
+    /** Whether [holding] should ask for more now, before it runs out. */
+    public fun isRefillDue(holding: BudgetHolding, now: Moment): Boolean =
+        holding.availableTokens < desiredTokens(holding, now) * REFILL_SHARE
+
+    /** Whether [holding] has so much more than it needs that the rest should go back. */
+    public fun isReturnDue(holding: BudgetHolding, now: Moment): Boolean =
+        holding.availableTokens > desiredTokens(holding, now) * RETURN_SHARE
+
+    /**
+     * The grant that [holder] should have in all, given the store's [allocation] and [prepaidTokens]. It never raises the
+     * sum above [prepaidTokens], and leaves the other [holders] their part of what is free, except that [neededTokens]
+     * of an open request go first.
+     */
+    public fun grantFor(
+        holder: Incarnation,
+        holding: BudgetHolding,
+        allocation: BudgetAllocation,
+        prepaidTokens: Long,
+        holders: Int,
+        neededTokens: Long,
+        now: Moment,
+    ): Long {
+        val granted = allocation.grantOf(holder)
+        val free = prepaidTokens - allocation.allocatedTokens
+        val missing = desiredTokens(holding, now) - (granted - holding.usedTokens - holding.reservedTokens)
+        if (missing <= 0 || free <= 0) return (granted + minOf(missing, 0L)).coerceAtLeast(holding.committedTokens)
+        val fairPart = (free * FAIR_PART_FACTOR / holders.coerceAtLeast(1)).toLong()
+        return granted + minOf(missing, maxOf(fairPart, neededTokens), free)
+    }
+
+    public companion object {
+        /** The longest cut from the store on the users' days is 12 s, most are under 9 s. */
+        public const val DEFAULT_COVER_MILLISECONDS: Long = 10_000
+
+        /** Arrivals of one customer at one router vary by about a half over some seconds. */
+        public const val DEFAULT_HEADROOM: Double = 1.5
+
+        /** A few requests of the largest kind. */
+        public const val DEFAULT_MINIMUM_TOKENS: Long = 60_000
+
+        private const val MILLISECONDS_PER_SECOND = 1_000.0
+
+        /** Asking at this share of the aim leaves time for the answer. */
+        private const val REFILL_SHARE = 0.8
+
+        /** Returning only well above the aim keeps grants from going back and forth. */
+        private const val RETURN_SHARE = 1.6
+
+        /** Demand is uneven between routers, so one may take more than an equal part of what is free. */
+        private const val FAIR_PART_FACTOR = 2.0
+    }
+}
+
+/** Tokens of this holding that cannot be given back. */
+public val BudgetHolding.committedTokens: Long get() = usedTokens + reservedTokens
--- /dev/null
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -0,0 +1,114 @@
+package org.heatherwind.core.placement
+
+import org.heatherwind.core.identity.Moment
+import org.heatherwind.core.target.TargetEntry
+
+/** What this router knows of one target's load and health. Confined to one thread. */
+public class TargetLoad(public var entry: TargetEntry) {
+    /** Requests of this router that the target has and has not answered whole. */
+    public var openRequests: Int = 0
+        private set
+
+    /** Prompt tokens of this router's requests that have no first event yet. */
+    public var unreadTokens: Long = 0
+        private set
+
+    /** Tokens that this router's requests may occupy in the target's memory. */
+    public var occupiedTokens: Long = 0
+        private set
+
+    private var reportedForeign: Double = 0.0
+    private var reportedWaiting: Int = 0
+    private var reportedAt: Moment = Moment.distantPast
+    private var consecutiveFailures: Int = 0
+    private var failureScore: Double = 0.0
+    private var failureScoreAt: Moment = Moment.distantPast
+
+    /** The target gets no work but single trials until this moment. */
+    public var suspectedUntil: Moment = Moment.distantPast
+        private set
+
+    /** Notes that a request with [unread] prompt tokens and [occupied] tokens of memory was sent. */
+    public fun recordSent(unread: Long, occupied: Long) {
+        openRequests++
+        unreadTokens += unread
+        occupiedTokens += occupied
+    }
+
+    /** Notes that the prompt of a request with [unread] tokens was read. */
+    public fun recordRead(unread: Long) {
+        unreadTokens -= unread
+    }
+
+    /** Notes that a request with [occupied] tokens of memory ended. */
+    public fun recordEnded(occupied: Long) {
+        openRequests--
+        occupiedTokens -= occupied
+    }
+
+    /** Takes in the target's own word of its load at [now]. */
+    public fun recordReport(running: Int, waiting: Int, now: Moment) {
+        reportedForeign = (running + waiting - openRequests).coerceAtLeast(0).toDouble()
+        reportedWaiting = waiting
+        reportedAt = now
+    }
+
+    /** Requests of other routers, as last reported; the report fades with its age. */
+    public fun foreignRequests(now: Moment): Double = reportedForeign * freshness(now)
+
+    /** Requests that wait at the target, as last reported. */
+    public fun waitingRequests(now: Moment): Double = reportedWaiting * freshness(now)
+
+    /** Notes a whole answer. */
+    public fun recordSuccess(now: Moment) {
+        consecutiveFailures = 0
+        suspectedUntil = Moment.distantPast
+        failureScore = score(now) * SUCCESS_RETENTION
+        failureScoreAt = now
+    }
+
+    /** Notes an error that the target sent, which a grey target sends while its health check passes. */
+    public fun recordErrorAnswer(now: Moment) {
+        failureScore = score(now) + 1
+        failureScoreAt = now
+    }
+
+    /** Notes a connection that failed or fell silent at [now]. */
+    public fun recordBroken(now: Moment) {
+        consecutiveFailures++
+        failureScore = score(now) + 1
+        failureScoreAt = now
+        val doublings = (consecutiveFailures - 1).coerceAtMost(MAXIMUM_DOUBLINGS)
+        suspectedUntil = now.plusMilliseconds(FIRST_SUSPICION_MILLISECONDS shl doublings)
+    }
+
+    /** Whether the target gets no ordinary work at [now]. */
+    public fun isSuspected(now: Moment): Boolean = now < suspectedUntil
+
+    /** Recent failures, fading. */
+    public fun score(now: Moment): Double {
+        val age = now.millisecondsSince(failureScoreAt)
+        if (age > FAILURE_FORGOTTEN_MILLISECONDS) return 0.0
+        return failureScore * (1 - age.toDouble() / FAILURE_FORGOTTEN_MILLISECONDS)
+    }
+
+    private fun freshness(now: Moment): Double {
+        val age = now.millisecondsSince(reportedAt)
+        return if (age > REPORT_FORGOTTEN_MILLISECONDS) 0.0 else 1 - age.toDouble() / REPORT_FORGOTTEN_MILLISECONDS
+    }
+
+    private companion object {
+        /** Long enough that one failure costs a target little, short enough to notice its return. */
+        const val FIRST_SUSPICION_MILLISECONDS = 400L
+        const val MAXIMUM_DOUBLINGS = 3
+
+        /** The share of past failures that one success leaves in the score. */
+        const val SUCCESS_RETENTION = 0.8
+
+        /** Failures older than this say nothing of a target's present state. */
+        const val FAILURE_FORGOTTEN_MILLISECONDS = 6_000L
+
+        /** Most requests end within two seconds, so an older report names none that still run. */
+        const val REPORT_FORGOTTEN_MILLISECONDS = 2_000L
+    }
+}
--- a/core/src/main/kotlin/org/heatherwind/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/result/ResultCode.kt
@@ -38,6 +38,7 @@
     IDEMPOTENCY_KEY_REUSED(2007, 409, Execution.NOT_RUN, "The Idempotency-Key was used with another body."),
     OPERATION_NOT_AUTHORISED(2008, 403, Execution.NOT_RUN, "The operator's token is missing or wrong."),
     HEADERS_TOO_LARGE(2009, 431, Execution.NOT_RUN, "The request headers are larger than the accepted size."),
+    REQUEST_READ_TIMEOUT(2010, 408, Execution.NOT_RUN, "The request did not arrive whole in time."),
     BUDGET_EXHAUSTED(3000, 402, Execution.NOT_RUN, "The budget's unspent tokens do not cover the request."),
     BUDGET_HELD_ELSEWHERE(
         3001,
@@ -62,6 +63,16 @@
     HOME_UNREACHABLE(3006, 503, Execution.NOT_RUN, "No router that holds the budget could be reached."),
     ROUTER_NOT_READY(3007, 503, Execution.NOT_RUN, "The router has not read its state yet."),
     ROUTER_DRAINING(3008, 503, Execution.NOT_RUN, "The router is stopping and takes no new requests."),
+    CONFIGURATION_OUTDATED(
+        3009,
+        503,
+        Execution.NOT_RUN,
+        "The key or path is unknown here, and the configuration may be out of date.",
+    ),
+    REQUEST_MEMORY_FULL(3010, 503, Execution.NOT_RUN, "The router holds too many request bodies."),
+    DEADLINE_BEFORE_START(3011, 503, Execution.NOT_RUN, "The deadline passed before a target took the request."),
+    REQUEST_QUARANTINED(3012, 503, Execution.NOT_RUN, "Earlier runs of the same request ended with failing targets."),
+    BUDGET_UNDIVIDED(3013, 503, Execution.NOT_RUN, "No tokens of the budget are free at this router at present."),
     NO_TARGET_FREE(4000, 503, Execution.NOT_RUN, "No target had a free slot before the deadline."),
     TARGET_REFUSED(4001, 503, Execution.NOT_RUN, "Every target tried refused the request before running it."),
     TARGET_FAILED(
@@ -73,6 +84,7 @@
     ANSWER_INTERRUPTED(4003, 502, Execution.UNKNOWN, "The answer ended before it was whole."),
     TARGET_SILENT(4004, 504, Execution.UNKNOWN, "The target sent nothing before the progress deadline."),
     ATTEMPT_OUTCOME_UNKNOWN(4005, 409, Execution.UNKNOWN, "The first attempt may have run; it is never run again."),
+    DEADLINE_PASSED(4007, 504, Execution.UNKNOWN, "The deadline passed while a target worked on the request."),
     CALLER_LEFT(4006, 499, Execution.UNKNOWN, "The caller closed the connection before the answer was whole."),
     CONFIGURATION_BASE_OUTDATED(5000, 409, Execution.NOT_RUN, "Another change was accepted first."),
     CONFIGURATION_INVALID(5001, 400, Execution.NOT_RUN, "The configuration breaks one or more rules."),
--- /dev/null
+++ b/core/src/main/kotlin/org/heatherwind/core/retry/RetryAllowance.kt
@@ -0,0 +1,60 @@
+package org.heatherwind.core.retry
+
+import org.heatherwind.core.identity.Moment
+
+/**
+ * This router's part of the fleet's allowance for further sends of a request to a service.
+ *
+ * Each first send earns [ratio] of a further send; [base] further sends are free in each [windowMilliseconds]. Sends are
+ * counted in slots of a tenth of the window, so that every span of that length keeps the bound.
+ */
+public class RetryAllowance(
+    private val ratio: Double,
+    private val base: Double,
+    private val windowMilliseconds: Long,
+) {
+    private val firstSends = SlidingCount(windowMilliseconds)
+    private val furtherSends = SlidingCount(windowMilliseconds)
+
+    /** Counts the first send of a request at [now]. */
+    public fun recordFirst(now: Moment) {
+        firstSends.add(now)
+    }
+
+    /** Takes one further send at [now], or false when the allowance is used up. */
+    public fun tryTake(now: Moment): Boolean {
+        val isWithin = furtherSends.sum(now) + 1 <= base + ratio * firstSends.sum(now)
+        if (isWithin) furtherSends.add(now)
+        return isWithin
+    }
+}
+
+/** Counts events of the last [windowMilliseconds] in ten slots. */
+internal class SlidingCount(private val windowMilliseconds: Long) {
+    private val slots = ArrayDeque<Slot>()
+
+    fun add(now: Moment) {
+        val index = indexOf(now)
+        val last = slots.lastOrNull()
+        if (last != null && last.index == index) last.count++ else slots.addLast(Slot(index, count = 1))
+        expire(now)
+    }
+
+    fun sum(now: Moment): Int {
+        expire(now)
+        return slots.sumOf { it.count }
+    }
+
+    private fun expire(now: Moment) {
+        val oldest = indexOf(now) - SLOTS
+        while (slots.isNotEmpty() && slots.first().index < oldest) slots.removeFirst()
+    }
+
+    private fun indexOf(now: Moment): Long = Math.floorDiv(now.milliseconds, windowMilliseconds / SLOTS)
+
+    private class Slot(val index: Long, var count: Int)
+
+    private companion object {
+        const val SLOTS = 10
+    }
+}
--- a/core/src/main/kotlin/org/heatherwind/core/routing/Rendezvous.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/routing/Rendezvous.kt
@@ -10,9 +10,16 @@
     public fun <M> rank(key: String, members: Collection<M>, name: (M) -> String): List<M> =
         members.sortedWith(compareByDescending<M> { weight(key, name(it)) }.thenBy { name(it) })
 
+    /** The member that should serve [key] first, or null when there is none. */
+    public fun <M> first(key: String, members: Collection<M>, name: (M) -> String): M? =
+        members.maxWithOrNull(compareBy<M> { weight(key, name(it)) }.thenByDescending { name(it) })
+
     /** The ledger shard of [budget] among [shards]. */
-    public fun shardOf(budget: BudgetId, shards: Int): Int =
-        Hashing.consistentHash(Hashing.farmHashFingerprint64().hashString(budget.value, UTF_8), shards)
+    public fun shardOf(budget: BudgetId, shards: Int): Int = partitionOf(budget.value, shards)
+
+    /** The partition of [key] among [partitions]. */
+    public fun partitionOf(key: String, partitions: Int): Int =
+        Hashing.consistentHash(Hashing.farmHashFingerprint64().hashString(key, UTF_8), partitions)
 
     private fun weight(key: String, member: String): Long = Hashing.farmHashFingerprint64().newHasher().putString(
         key,
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -0,0 +1,225 @@
+package org.heatherwind.gateway
+
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.heatherwind.core.escrow.GrantPolicy
+import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.core.retry.RetryAllowance
+import org.heatherwind.gateway.caller.BodyMemory
+import org.heatherwind.gateway.caller.CallerContext
+import org.heatherwind.gateway.caller.CallerListener
+import org.heatherwind.gateway.http.StatusListener
+import org.heatherwind.gateway.http.StatusText
+import org.heatherwind.gateway.protocol.CallerProtocol
+import org.heatherwind.gateway.serve.RequestServer
+import org.heatherwind.gateway.serve.ServeContext
+import org.heatherwind.gateway.serve.TargetClient
+import org.heatherwind.gateway.state.BudgetKeeper
+import org.heatherwind.gateway.state.FleetDocuments
+import org.heatherwind.gateway.state.FleetState
+import org.heatherwind.gateway.state.PlanSubscriber
+import org.heatherwind.gateway.state.RetryKeeper
+import org.heatherwind.gateway.state.RouterReport
+import org.heatherwind.gateway.state.RouterReports
+import org.heatherwind.gateway.state.StreamFollower
+import org.heatherwind.gateway.state.StreamSubscriber
+import org.heatherwind.gateway.state.TargetSubscriber
+import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StreamPartition
+import org.heatherwind.gateway.telemetry.DecisionLog
+import org.heatherwind.gateway.telemetry.GatewayMetrics
+
+/**
+ * One router process. Everything runs on one event loop, so that state needs no locks.
+ *
+ * @param store reaches the store on the same event loop
+ */
+public class GatewayProcess(
+    private val settings: GatewaySettings,
+    private val group: EventLoopGroup,
+    private val store: RecordStore,
+    private val documents: FleetDocuments,
+    private val protocol: CallerProtocol,
+    private val clock: SteadyClock = SteadyClock.system,
+) {
+    private val eventLoop: EventLoop = group.next()
+    private val self = Incarnation.of(settings.instance, Timestamp(System.currentTimeMillis()))
+    private val metrics = GatewayMetrics()
+    private val log = DecisionLog(clock, metrics)
+    private val failures = CoroutineExceptionHandler { _, failure ->
+        log.process("A task failed.", "failure" to failure.stackTraceToString())
+    }
+    private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher() + failures)
+    private val state = FleetState()
+    private val stopped = CompletableDeferred<Unit>()
+    private val client = TargetClient(eventLoop, clock)
+    private val reports: RouterReports = RouterReports(self, store, clock, log) { report() }
+    private val retries = RetryKeeper { newRetryAllowance() }
+    private val bodyMemory = BodyMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
+    private val budgets = BudgetKeeper(
+        self = self,
+        store = store,
+        partitions = settings.budgetPartitions,
+        scope = scope,
+        clock = clock,
+        log = log,
+        policy = GrantPolicy(),
+        customerOf = { id -> state.routes?.customerNamed(id) },
+        holders = { reports.liveCount() },
+        reportedUse = { id -> reports.usedElsewhere(id) + heldUse(id) },
+    )
+    private val listener = CallerListener(
+        group,
+        CallerContext(
+            scope = scope,
+            clock = clock,
+            limits = { state.limits },
+            isDraining = { isDraining },
+            bodyMemory = bodyMemory,
+            handler = RequestServer(
+                ServeContext(state, protocol, budgets, retries, client, clock, log, metrics) { reports.liveCount() },
+            ),
+        ),
+    )
+    private var reportSequence = 0L
+
+    @Volatile
+    private var isDraining = false
+
+    /** Opens the listeners and begins to follow the store. */
+    public fun start() {
+        StatusListener(group) { readiness() }.listen(settings.readinessAddress)
+        settings.metricsAddress?.let { StatusListener(group) { StatusText(OK, metrics.render()) }.listen(it) }
+        listener.listen(settings.callerAddress)
+        registerGauges()
+        follow(PLAN_PAUSE_MILLISECONDS, documents.planPartition, PlanSubscriber(state, documents, log) {})
+        follow(TARGET_PAUSE_MILLISECONDS, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
+        follow(REPORT_PAUSE_MILLISECONDS, RouterReports.partition, reports)
+        scope.launch { reports.publish() }
+        scope.launch { tend() }
+        log.process("Started.", "incarnation" to self.value, "callers" to settings.callerAddress.toString())
+    }
+
+    /** Notes that the settings changed. Every setting in use is fixed for the life of the process. */
+    public fun reload() {
+        log.process("Settings were announced as changed; they are read at the next start.")
+    }
+
+    /** Takes no new callers, ends open requests, and completes [awaitStopped]. */
+    public fun drain() {
+        scope.launch {
+            if (isDraining) return@launch
+            isDraining = true
+            log.process("Draining.", "open" to listener.busyCount)
+            val deadline = clock.now().plusMilliseconds(settings.drainMilliseconds - DRAIN_RESERVE_MILLISECONDS)
+            delay(minOf(ROTATION_MILLISECONDS, settings.drainMilliseconds / 2))
+            listener.stopListening()
+            while (listener.busyCount > 0 && clock.now() < deadline) {
+                listener.closeIdle()
+                delay(DRAIN_POLL_MILLISECONDS)
+            }
+            listener.closeIdle()
+            withTimeoutOrNull(LAST_WRITES_MILLISECONDS) {
+                budgets.returnAll()
+                reports.publishOnce()
+            }
+            log.process("Stopped.", "open" to listener.busyCount)
+            stopped.complete(Unit)
+        }
+    }
+
+    /** Waits for the end of a drain. */
+    public suspend fun awaitStopped(): Unit = stopped.await()
+
+    private fun follow(
+        pauseMilliseconds: Long,
+        partition: StreamPartition,
+        subscriber: StreamSubscriber,
+    ) {
+        val follower = StreamFollower(store, partition, pauseMilliseconds, clock, log, subscriber)
+        scope.launch { follower.run() }
+    }
+
+    private suspend fun tend() {
+        while (currentCoroutineContext().isActive) {
+            delay(TEND_MILLISECONDS)
+            budgets.tend()
+            client.closeUnused()
+        }
+    }
+
+    private fun readiness(): StatusText = StatusText(if (state.isReady && !isDraining) OK else UNAVAILABLE, ByteArray(0))
+
+    private fun report(): RouterReport = RouterReport(
+        incarnation = self.value,
+        sequence = reportSequence++,
+        usedTokens = budgets.holdings().mapKeys { it.key.value }.mapValues { it.value.usedTokens },
+        isLeaving = isDraining,
+    )
+
+    private fun heldUse(customer: CustomerId): Long =
+        budgets.holdings()[customer]?.usedTokens ?: 0
+
+    private fun newRetryAllowance() = RetryAllowance(
+        ratio = settings.retryRatio * RETRY_MARGIN,
+        base = settings.retryBase * RETRY_MARGIN / EXPECTED_ROUTERS,
+        windowMilliseconds = settings.retryWindowMilliseconds,
+    )
+
+    private fun registerGauges() {
+        metrics.gauge("heatherwind_caller_connections", "Open connections of callers.") {
+            listener.connectionCount.toDouble()
+        }
+        metrics.gauge("heatherwind_target_connections_opened", "Connections opened to targets since the start.") {
+            client.openedCount.toDouble()
+        }
+        metrics.gauge("heatherwind_plan_version", "Version of the routing plan in force.") {
+            (state.routes?.plan?.version ?: 0).toDouble()
+        }
+        metrics.gauge("heatherwind_request_body_bytes", "Bytes of request bodies held.") {
+            bodyMemory.heldBytes.toDouble()
+        }
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+        const val BYTES_PER_MEGABYTE = 1_048_576L
+
+        /** Bodies may fill an eighth of the process's memory. */
+        const val BODY_MEMORY_DIVISOR = 8
+
+        /** A change must be in force within two seconds, so it is looked for several times in one. */
+        const val PLAN_PAUSE_MILLISECONDS = 250L
+        const val TARGET_PAUSE_MILLISECONDS = 250L
+        const val REPORT_PAUSE_MILLISECONDS = 800L
+        const val TEND_MILLISECONDS = 500L
+
+        /** The balancer takes a router out after two missed checks, a second apart. */
+        const val ROTATION_MILLISECONDS = 2_500L
+        const val DRAIN_POLL_MILLISECONDS = 50L
+
+        /** Kept back from the drain for the last writes and the end of the process. */
+        const val DRAIN_RESERVE_MILLISECONDS = 900L
+        const val LAST_WRITES_MILLISECONDS = 500L
+
+        /** Part of the fleet's allowance that is used; the rest covers routers that count differently for a while. */
+        const val RETRY_MARGIN = 0.8
+
+        /** The free part of the allowance is divided among this many routers, more than either site has today. */
+        const val EXPECTED_ROUTERS = 12.0
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/SocketOptions.kt
@@ -0,0 +1,27 @@
+package org.heatherwind.gateway.http
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.nio.NioChannelOption
+import jdk.net.ExtendedSocketOptions
+
+/** Keep-alive probes find a peer that vanished while nothing is being sent. */
+internal object SocketOptions {
+    /** Idle seconds before the first probe. */
+    private const val KEEP_ALIVE_IDLE_SECONDS = 2
+
+    /** Seconds between probes. */
+    private const val KEEP_ALIVE_INTERVAL_SECONDS = 1
+
+    /** Unanswered probes after which the connection is dead. */
+    private const val KEEP_ALIVE_PROBES = 3
+
+    fun <B : Bootstrap> applyTo(bootstrap: B): B {
+        bootstrap.option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
+            .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+        return bootstrap
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/StatusListener.kt
@@ -0,0 +1,55 @@
+package org.heatherwind.gateway.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import java.net.InetSocketAddress
+
+/** A short text for whoever asks, with a status. */
+internal class StatusText(val status: Int, val body: ByteArray)
+
+/** Answers every request with what [present] gives at that moment: readiness, or metrics. */
+internal class StatusListener(private val group: EventLoopGroup, private val present: () -> StatusText) {
+    /** Listens on [address]; fails where the address is taken. */
+    fun listen(address: InetSocketAddress) {
+        ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+            .childHandler(object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) {
+                    channel.pipeline().addLast(HttpServerCodec(), Responder())
+                }
+            })
+            .bind(address).syncUninterruptibly()
+    }
+
+    private inner class Responder : SimpleChannelInboundHandler<HttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: HttpRequest) {
+            val text = present()
+            val response = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(text.status),
+                Unpooled.wrappedBuffer(text.body),
+            )
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.body.size)
+            val written = context.writeAndFlush(response)
+            if (!HttpUtil.isKeepAlive(request)) written.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        @Deprecated("declared so by Netty")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
@@ -0,0 +1,245 @@
+package org.heatherwind.gateway.serve
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
+import kotlinx.coroutines.withTimeoutOrNull
+import org.heatherwind.core.identity.Moment
+import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.core.placement.TargetLoad
+import org.heatherwind.core.work.Repeatability
+import org.heatherwind.core.work.WorkRequest
+import org.heatherwind.gateway.caller.ReceivedRequest
+import org.heatherwind.gateway.http.AnswerPart
+import org.heatherwind.gateway.http.ClientConnection
+import org.heatherwind.gateway.protocol.CallerProtocol
+import org.heatherwind.gateway.protocol.TargetAnswerHead
+import org.heatherwind.gateway.protocol.TargetInstruction
+import java.io.ByteArrayOutputStream
+
+/** One try of a request on one target. */
+internal class Attempt(
+    private val work: WorkRequest,
+    private val received: ReceivedRequest,
+    private val target: TargetLoad,
+    private val progress: DeliveryProgress,
+    private val unreadTokens: Long,
+    private val urgency: Int?,
+    private val protocol: CallerProtocol,
+    private val client: TargetClient,
+    private val clock: SteadyClock,
+    private val silence: SilencePolicy,
+) {
+    private var isRead = false
+    private val splitter = EventSplitter()
+
+    /** Sends the request and passes the answer on. */
+    suspend fun run(): AttemptResult {
+        val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
+        target.recordSent(unreadTokens, work.tokens?.worstCase ?: 0)
+        var connection: ClientConnection? = null
+        var isWhole = false
+        try {
+            connection = client.connect(target, isRepeatable)
+            if (connection == null) {
+                target.recordBroken(clock.now())
+                client.forget(target)
+                return AttemptResult.Unsent("no connection")
+            }
+            send(connection)
+            val result = receive(connection)
+            isWhole = result !is AttemptResult.Broken
+            note(result)
+            return result
+        } finally {
+            noteRead()
+            target.recordEnded(work.tokens?.worstCase ?: 0)
+            connection?.let { client.finish(target, it, isWhole) }
+        }
+    }
+
+    private fun send(connection: ClientConnection) {
+        progress.mayHaveRun = true
+        val instruction = TargetInstruction(
+            target = target.entry.id,
+            customer = work.customer?.id,
+            millisecondsLeft = work.deadline.millisecondsSince(clock.now()).coerceAtLeast(1),
+            urgency = urgency,
+            resumeAfterEvent = progress.lastEventId,
+        )
+        val headers = protocol.targetHeaders(received.head.headers(), instruction)
+        connection.send(received.head.method(), received.head.uri(), headers, received.body)
+    }
+
+    private fun note(result: AttemptResult) {
+        val now = clock.now()
+        when (result) {
+            is AttemptResult.Delivered -> target.recordSuccess(now)
+            is AttemptResult.Failed -> target.recordErrorAnswer(now)
+            is AttemptResult.Broken -> target.recordBroken(now)
+            is AttemptResult.NotRun, is AttemptResult.Unsent -> Unit
+        }
+    }
+
+    private fun noteRead() {
+        if (!isRead) target.recordRead(unreadTokens)
+        isRead = true
+    }
+
+    private suspend fun receive(connection: ClientConnection): AttemptResult {
+        while (true) {
+            val part = next(connection, hasBegun = false)
+                ?: return AttemptResult.Broken("no answer before the progress deadline")
+            when (part) {
+                is AnswerPart.Broken -> return AttemptResult.Broken(part.reason)
+                is AnswerPart.Body -> part.content.release()
+                is AnswerPart.End -> Unit
+                is AnswerPart.Head -> receiveAnswer(connection, part.response)?.let { return it }
+            }
+        }
+    }
+
+    /** The result of an answer with this [response] as its head, or null when it belongs to another request. */
+    private suspend fun receiveAnswer(connection: ClientConnection, response: HttpResponse): AttemptResult? {
+        val head = protocol.readAnswer(response)
+        head.load?.let { target.recordReport(it.running, it.waiting, clock.now()) }
+        if (head.status < FIRST_FINAL_STATUS) return null
+        if (head.requestId != work.id) {
+            connection.isClosing = true
+            return if (head.requestId == null && !head.isNotRun) AttemptResult.Broken("an answer without a name") else
+                if (head.isNotRun) AttemptResult.NotRun(head.status) else null
+        }
+        val isEncoded = response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+        return when {
+            head.isNotRun -> collect(connection, response) { AttemptResult.NotRun(head.status) }
+            !head.isSigned || isEncoded -> AttemptResult.Broken("an answer that is not the service's")
+            head.status !in SUCCESS -> collect(connection, response) { body -> failed(head, response, body) }
+            isEventStream(response) -> passEvents(connection, response)
+            else -> passBody(connection, response)
+        }
+    }
+
+    private fun failed(head: TargetAnswerHead, response: HttpResponse, body: ByteArray): AttemptResult =
+        AttemptResult.Failed(head.status, protocol.callerHeaders(response.headers()), body)
+
+    private suspend fun collect(
+        connection: ClientConnection,
+        response: HttpResponse,
+        result: (ByteArray) -> AttemptResult,
+    ): AttemptResult {
+        val body = ByteArrayOutputStream()
+        while (true) {
+            when (val part = next(connection, hasBegun = true)) {
+                null -> return AttemptResult.Broken("no progress within an error answer of ${response.status()}")
+                is AnswerPart.Broken -> return AttemptResult.Broken(part.reason)
+                is AnswerPart.Head -> return AttemptResult.Broken("a second answer within the first")
+                is AnswerPart.End -> return result(body.toByteArray())
+                is AnswerPart.Body -> {
+                    part.content.readBytes(body, part.content.readableBytes())
+                    part.content.release()
+                }
+            }
+        }
+    }
+
+    /** Keeps a short body until it is whole, so that a broken one can still be replaced; passes a long one on as it comes. */
+    private suspend fun passBody(connection: ClientConnection, response: HttpResponse): AttemptResult {
+        val body = ByteArrayOutputStream()
+        val status = response.status().code()
+        while (true) {
+            when (val part = next(connection, hasBegun = true)) {
+                null -> return AttemptResult.Broken("no progress within the body")
+                is AnswerPart.Broken -> return AttemptResult.Broken(part.reason)
+                is AnswerPart.Head -> return AttemptResult.Broken("a second answer within the first")
+                is AnswerPart.End -> {
+                    finishBody(status, response, body)
+                    return AttemptResult.Delivered(status)
+                }
+                is AnswerPart.Body -> if (progress.answer.hasBegun) {
+                    progress.answer.write(part.content)
+                } else {
+                    part.content.readBytes(body, part.content.readableBytes())
+                    part.content.release()
+                    if (body.size() > MAXIMUM_KEPT_BODY_BYTES) beginBody(status, response, body)
+                }
+            }
+        }
+    }
+
+    private suspend fun beginBody(status: Int, response: HttpResponse, body: ByteArrayOutputStream) {
+        progress.answer.begin(status, protocol.callerHeaders(response.headers()))
+        progress.answer.write(io.netty.buffer.Unpooled.wrappedBuffer(body.toByteArray()))
+    }
+
+    private fun finishBody(status: Int, response: HttpResponse, body: ByteArrayOutputStream) {
+        if (progress.answer.hasBegun) {
+            progress.answer.finish()
+        } else {
+            progress.answer.respond(status, protocol.callerHeaders(response.headers()), body.toByteArray())
+        }
+    }
+
+    private suspend fun passEvents(connection: ClientConnection, response: HttpResponse): AttemptResult {
+        while (true) {
+            when (val part = next(connection, hasBegun = isRead)) {
+                null -> return AttemptResult.Broken("no event before the progress deadline")
+                is AnswerPart.Broken -> return AttemptResult.Broken(part.reason)
+                is AnswerPart.Head -> return AttemptResult.Broken("a second answer within the first")
+                is AnswerPart.End -> return endEvents(response)
+                is AnswerPart.Body -> passEvents(response, part.content)
+            }
+        }
+    }
+
+    private suspend fun passEvents(response: HttpResponse, content: ByteBuf) {
+        val events = try {
+            splitter.feed(content)
+        } finally {
+            content.release()
+        }
+        for (event in events) {
+            noteRead()
+            val last = progress.lastEventId
+            if (event.id != null && last != null && event.id <= last) {
+                event.bytes.release()
+                continue
+            }
+            if (!progress.answer.hasBegun) beginEvents(response)
+            progress.answer.write(event.bytes)
+            progress.recordEvent(event.id)
+        }
+    }
+
+    private fun beginEvents(response: HttpResponse): Unit =
+        progress.answer.begin(response.status().code(), protocol.callerHeaders(response.headers()))
+
+    private suspend fun endEvents(response: HttpResponse): AttemptResult {
+        if (!progress.answer.hasBegun) beginEvents(response)
+        val rest = splitter.rest()
+        if (rest.isReadable) progress.answer.write(rest.retainedDuplicate())
+        progress.answer.finish()
+        return AttemptResult.Delivered(response.status().code())
+    }
+
+    /** The next part, or null when the request should go elsewhere because nothing came in time. */
+    private suspend fun next(connection: ClientConnection, hasBegun: Boolean): AnswerPart? {
+        val now: Moment = clock.now()
+        val limit = silence.limitMilliseconds(work, progress, hasBegun)
+        val part = withTimeoutOrNull(limit) { connection.receive() }
+        if (part != null) return part
+        target.recordBroken(now)
+        return if (silence.mayLeave(work, progress)) null else connection.receive()
+    }
+
+    private fun isEventStream(response: HttpResponse): Boolean = work.route.isStream &&
+        response.headers()[HttpHeaderNames.CONTENT_TYPE].orEmpty().startsWith(EVENT_STREAM)
+
+    private companion object {
+        const val EVENT_STREAM = "text/event-stream"
+        const val FIRST_FINAL_STATUS = 200
+        val SUCCESS = 200..299
+
+        /** Longer bodies are passed on before they are whole. */
+        const val MAXIMUM_KEPT_BODY_BYTES = 262_144
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DestinationChoice.kt
@@ -0,0 +1,19 @@
+package org.heatherwind.gateway.serve
+
+import org.heatherwind.core.identity.ServiceId
+import org.heatherwind.core.work.WorkRequest
+import kotlin.random.Random
+
+/** Chooses one of a route's services by its weights. */
+internal object DestinationChoice {
+    fun choose(work: WorkRequest): ServiceId? {
+        val destinations = work.route.destinations
+        if (destinations.size <= 1) return destinations.firstOrNull()?.service
+        var point = Random.nextDouble() * destinations.sumOf { it.weight }
+        for (destination in destinations) {
+            point -= destination.weight
+            if (point < 0) return destination.service
+        }
+        return destinations.last().service
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RefusalWriter.kt
@@ -0,0 +1,27 @@
+package org.heatherwind.gateway.serve
+
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import org.heatherwind.gateway.caller.CallerAnswer
+import org.heatherwind.gateway.protocol.CallerProtocol
+import java.util.Locale
+
+/** Writes the router's own answers. */
+internal class RefusalWriter(private val protocol: CallerProtocol) {
+    fun write(answer: CallerAnswer, id: String, refusal: Refusal) {
+        val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+        if (id.isNotEmpty()) protocol.nameRequest(headers, id)
+        headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        refusal.retryAfterMilliseconds?.let {
+            headers.set(HttpHeaderNames.RETRY_AFTER, "%.3f".format(Locale.ROOT, it / MILLISECONDS_PER_SECOND))
+        }
+        val code = refusal.code
+        val body = """{"code":${code.number},"message":"${code.sentence}"}"""
+        answer.respond(code.httpStatus, headers, body.encodeToByteArray())
+    }
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1_000.0
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -0,0 +1,222 @@
+package org.heatherwind.gateway.state
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.heatherwind.core.escrow.BudgetAllocation
+import org.heatherwind.core.escrow.BudgetHolding
+import org.heatherwind.core.escrow.GrantPolicy
+import org.heatherwind.core.escrow.committedTokens
+import org.heatherwind.core.fleet.Customer
+import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.Moment
+import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.core.routing.Rendezvous
+import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StreamAppend
+import org.heatherwind.gateway.store.StreamPartition
+import org.heatherwind.gateway.telemetry.DecisionLog
+
+/** Whether a request's worst case could be reserved. */
+internal sealed interface BudgetDecision {
+    /** [tokens] are reserved until [BudgetKeeper.settle]. */
+    data class Reserved(val customer: CustomerId, val tokens: Long) : BudgetDecision
+
+    /** The store shows that the unspent tokens do not cover the request. */
+    data object Exhausted : BudgetDecision
+
+    /** Tokens may be left, but none are at this router. */
+    data object Undivided : BudgetDecision
+}
+
+/**
+ * Holds this router's grants. A grant grows and shrinks by conditional appends to the store, so that the grants of all
+ * routers together never exceed what was prepaid. Confined to the event loop.
+ */
+internal class BudgetKeeper(
+    private val self: Incarnation,
+    private val store: RecordStore,
+    private val partitions: Int,
+    private val scope: CoroutineScope,
+    private val clock: SteadyClock,
+    private val log: DecisionLog,
+    private val policy: GrantPolicy,
+    private val customerOf: (CustomerId) -> Customer?,
+    private val holders: () -> Int,
+    private val reportedUse: (CustomerId) -> Long,
+) {
+    private val accounts = HashMap<CustomerId, Account>()
+    private val ledgers = HashMap<Int, LedgerPartition>()
+
+    /** Reserves [tokens] for [customer], and waits for a grant until [until] where this router holds too little. */
+    suspend fun reserve(customer: Customer, tokens: Long, until: Moment): BudgetDecision {
+        val prepaid = customer.prepaidTokens ?: return BudgetDecision.Reserved(customer.id, 0)
+        val now = clock.now()
+        val account = accounts.getOrPut(customer.id) { Account(customer.id, BudgetHolding(now)) }
+        account.holding.recordDemand(tokens, now)
+        if (account.holding.tryReserve(tokens)) {
+            if (policy.isRefillDue(account.holding, now)) refill(account, neededTokens = 0)
+            return BudgetDecision.Reserved(customer.id, tokens)
+        }
+        while (clock.now() < until) {
+            val change = refill(account, tokens)
+            val isDone = withTimeoutOrNull(until.millisecondsSince(clock.now()).coerceAtLeast(1)) { change.await() }
+            if (account.holding.tryReserve(tokens)) return BudgetDecision.Reserved(customer.id, tokens)
+            if (isDone == GrantChange.SHORT) break
+            if (isDone == GrantChange.FAILED) delay(RETRY_PAUSE_MILLISECONDS)
+        }
+        val isShort = account.isStoreCurrent && prepaid - reportedUse(customer.id) < tokens
+        log.belief(
+            "budget",
+            "Could not reserve tokens.",
+            "customer" to customer.id.value,
+            "tokens" to tokens,
+            "available" to account.holding.availableTokens,
+            "granted" to account.holding.grantedTokens,
+            "prepaid" to prepaid,
+            "exhausted" to isShort,
+        )
+        return if (isShort) BudgetDecision.Exhausted else BudgetDecision.Undivided
+    }
+
+    /** Ends a reservation; [used] tokens were consumed. */
+    fun settle(reservation: BudgetDecision.Reserved, used: Long) {
+        accounts[reservation.customer]?.holding?.settle(reservation.tokens, used)
+    }
+
+    /** Tokens used and granted here, for each customer. */
+    fun holdings(): Map<CustomerId, BudgetHolding> = accounts.mapValues { it.value.holding }
+
+    /** Gives back what is held without need, and asks for what runs low. */
+    fun tend() {
+        val now = clock.now()
+        accounts.values.forEach { account ->
+            val isDue = policy.isReturnDue(account.holding, now) || policy.isRefillDue(account.holding, now)
+            if (isDue && account.holding.grantedTokens > 0) refill(account, neededTokens = 0)
+        }
+    }
+
+    /** Gives back everything that is not committed, before the process ends. */
+    suspend fun returnAll() {
+        accounts.values.filter { it.holding.grantedTokens > 0 }.forEach { account ->
+            account.isClosing = true
+            refill(account, neededTokens = 0).await()
+        }
+    }
+
+    private fun refill(account: Account, neededTokens: Long): CompletableDeferred<GrantChange> {
+        account.change?.let { return it }
+        val change = CompletableDeferred<GrantChange>()
+        account.change = change
+        scope.launch {
+            var result = GrantChange.FAILED
+            try {
+                result = changeGrant(account, neededTokens)
+            } finally {
+                account.change = null
+                change.complete(result)
+            }
+        }
+        return change
+    }
+
+    private suspend fun changeGrant(account: Account, neededTokens: Long): GrantChange {
+        val ledger = ledgerOf(account.id)
+        repeat(MAXIMUM_CONFLICTS) {
+            if (!ledger.isCurrent && !ledger.refresh()) {
+                account.isStoreCurrent = false
+                return GrantChange.FAILED
+            }
+            account.isStoreCurrent = true
+            val allocation = ledger.allocationOf(account.id)
+            val before = allocation.grantOf(self)
+            account.holding.setGranted(minOf(before, account.certainTokens))
+            val after = aim(account, allocation, neededTokens)
+            val isUncertain = account.certainTokens < before
+            if (after == before && !isUncertain) return GrantChange.SHORT
+            if (after < before) account.holding.setGranted(after)
+            val changed = if (account.isClosing) {
+                allocation.closing(self, account.holding.committedTokens)
+            } else {
+                allocation.withGrant(self, after)
+            }
+            when (val append = ledger.append(account.id, changed)) {
+                is StreamAppend.Appended -> {
+                    account.holding.setGranted(after)
+                    account.certainTokens = Long.MAX_VALUE
+                    logChange(account, before, after, changed)
+                    return GrantChange.DONE
+                }
+                StreamAppend.Conflict -> delay(conflictPause())
+                is StreamAppend.Rejected -> return unconfirmed(account, append)
+                is StreamAppend.Unknown -> {
+                    account.certainTokens = minOf(account.certainTokens, before, after)
+                    account.holding.setGranted(minOf(before, account.certainTokens))
+                    return unconfirmed(account, append)
+                }
+            }
+        }
+        return GrantChange.FAILED
+    }
+
+    private fun unconfirmed(account: Account, append: StreamAppend): GrantChange {
+        log.belief("budget", "A grant was not confirmed.", "customer" to account.id.value, "outcome" to append)
+        return GrantChange.FAILED
+    }
+
+    private fun aim(account: Account, allocation: BudgetAllocation, neededTokens: Long): Long {
+        if (account.isClosing) return account.holding.committedTokens
+        val prepaid = customerOf(account.id)?.prepaidTokens ?: return allocation.grantOf(self)
+        return policy.grantFor(
+            self,
+            account.holding,
+            allocation,
+            prepaid,
+            holders(),
+            neededTokens,
+            clock.now(),
+        )
+    }
+
+    private fun logChange(account: Account, before: Long, after: Long, allocation: BudgetAllocation): Unit = log.belief(
+        "budget",
+        "A grant changed.",
+        "customer" to account.id.value,
+        "before" to before,
+        "after" to after,
+        "used" to account.holding.usedTokens,
+        "allocated" to allocation.allocatedTokens,
+    )
+
+    private fun conflictPause(): Long = (CONFLICT_PAUSE_MILLISECONDS * (1 + Math.random())).toLong()
+
+    private fun ledgerOf(customer: CustomerId): LedgerPartition {
+        val index = Rendezvous.partitionOf(customer.value, partitions)
+        return ledgers.getOrPut(index) { LedgerPartition(store, StreamPartition(STREAM, index)) }
+    }
+
+    private class Account(val id: CustomerId, val holding: BudgetHolding) {
+        var change: CompletableDeferred<GrantChange>? = null
+        var isClosing = false
+        var isStoreCurrent = false
+
+        /** A change whose outcome is unknown may take effect later, so no more than this is used until one is confirmed. */
+        var certainTokens = Long.MAX_VALUE
+    }
+
+    private enum class GrantChange { DONE, SHORT, FAILED }
+
+    private companion object {
+        const val STREAM = "budgets"
+
+        /** Other routers change grants of the same partition; each conflict is read and tried anew. */
+        const val MAXIMUM_CONFLICTS = 12
+        const val CONFLICT_PAUSE_MILLISECONDS = 6.0
+
+        /** Pause after the store turned a change away. */
+        const val RETRY_PAUSE_MILLISECONDS = 60L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -0,0 +1,90 @@
+package org.heatherwind.gateway.state
+
+import kotlinx.collections.immutable.toPersistentHashMap
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import org.heatherwind.core.escrow.BudgetAllocation
+import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.gateway.store.KeyedRecord
+import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StreamAppend
+import org.heatherwind.gateway.store.StreamPartition
+import org.heatherwind.gateway.store.StreamRead
+
+/** This router's copy of one partition of the budgets, brought up to date before each change. */
+internal class LedgerPartition(private val store: RecordStore, private val partition: StreamPartition) {
+    private val allocations = HashMap<CustomerId, BudgetAllocation>()
+    private var nextOffset: Long? = null
+
+    /** Whether a change may be tried without reading first. */
+    var isCurrent = false
+        private set
+
+    /** The allocation of [customer] as last read. */
+    fun allocationOf(customer: CustomerId): BudgetAllocation = allocations[customer] ?: BudgetAllocation()
+
+    /** Reads what was added. Answers whether the copy is now up to date. */
+    suspend fun refresh(): Boolean {
+        val from = nextOffset
+        val read = if (from == null) store.newest(partition) else store.read(partition, from)
+        when (read) {
+            is StreamRead.Records -> {
+                read.records.forEach { apply(it) }
+                nextOffset = read.nextOffset
+                isCurrent = true
+            }
+            StreamRead.Expired -> {
+                nextOffset = null
+                return refresh()
+            }
+            is StreamRead.Unavailable -> isCurrent = false
+        }
+        return isCurrent
+    }
+
+    /** Appends [allocation] if nothing was added since the last read. */
+    suspend fun append(customer: CustomerId, allocation: BudgetAllocation): StreamAppend {
+        val expected = nextOffset ?: return StreamAppend.Conflict
+        isCurrent = false
+        val append = store.append(partition, customer.value, encode(allocation), expected)
+        if (append is StreamAppend.Appended) {
+            allocations[customer] = allocation
+            nextOffset = append.endOffset
+            isCurrent = true
+        }
+        return append
+    }
+
+    private fun apply(record: KeyedRecord) {
+        val value = record.value ?: return
+        allocations[CustomerId(record.key)] = decode(value)
+    }
+
+    private fun encode(allocation: BudgetAllocation): ByteArray = buildJsonObject {
+        put(CLOSED, allocation.closedTokens)
+        putJsonObject(GRANTS) { allocation.grants.forEach { (holder, tokens) -> put(holder.value, tokens) } }
+    }.toString().encodeToByteArray()
+
+    private fun decode(value: ByteArray): BudgetAllocation {
+        val document = Json.parseToJsonElement(value.decodeToString()).jsonObject
+        val grants = document[GRANTS] ?: throw SerializationException("an allocation without grants")
+        return BudgetAllocation(
+            closedTokens = document[CLOSED]?.jsonPrimitive?.long ?: 0,
+            grants = grants.jsonObject.entries.associate { (holder, tokens) ->
+                Incarnation(holder) to tokens.jsonPrimitive.long
+            }.toPersistentHashMap(),
+        )
+    }
+
+    private companion object {
+        const val CLOSED = "closed"
+        const val GRANTS = "grants"
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PlanSubscriber.kt
@@ -0,0 +1,35 @@
+package org.heatherwind.gateway.state
+
+import arrow.core.Either
+import org.heatherwind.core.identity.Moment
+import org.heatherwind.gateway.store.KeyedRecord
+import org.heatherwind.gateway.telemetry.DecisionLog
+
+/** Takes routing plans into the [state]. */
+internal class PlanSubscriber(
+    private val state: FleetState,
+    private val documents: FleetDocuments,
+    private val log: DecisionLog,
+    private val onPlan: () -> Unit,
+) : StreamSubscriber {
+    override fun onSnapshot(records: List<KeyedRecord>): Unit = onRecords(records)
+
+    override fun onRecords(records: List<KeyedRecord>) {
+        records.filter { it.key == documents.planKey }.forEach { record -> adopt(record) }
+    }
+
+    override fun onCurrent(now: Moment, isRegained: Boolean) {
+        state.planCheckedAt = now
+    }
+
+    private fun adopt(record: KeyedRecord) {
+        val value = record.value ?: return
+        when (val read = documents.readPlan(value)) {
+            is Either.Left -> log.belief("plan", "Ignored an unreadable routing plan.", "reason" to read.value)
+            is Either.Right -> if (state.adoptPlan(read.value)) {
+                log.belief("plan", "Adopted a routing plan.", "version" to read.value.version, "offset" to record.offset)
+                onPlan()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetSubscriber.kt
@@ -0,0 +1,63 @@
+package org.heatherwind.gateway.state
+
+import arrow.core.Either
+import org.heatherwind.core.identity.Moment
+import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.core.identity.TargetId
+import org.heatherwind.core.target.TargetEntry
+import org.heatherwind.gateway.store.KeyedRecord
+import org.heatherwind.gateway.telemetry.DecisionLog
+
+/** Takes the list of targets into the [state]. */
+internal class TargetSubscriber(
+    private val state: FleetState,
+    private val documents: FleetDocuments,
+    private val clock: SteadyClock,
+    private val log: DecisionLog,
+) : StreamSubscriber {
+    override fun onSnapshot(records: List<KeyedRecord>) {
+        val now = clock.now()
+        state.adoptDirectory(state.directory.replacedBy(records.mapNotNull { read(it) }, now))
+        state.isDirectoryRead = true
+        log.belief("targets", "Read the whole list of targets.", "count" to state.directory.entries.size)
+    }
+
+    override fun onRecords(records: List<KeyedRecord>) {
+        val now = clock.now()
+        var directory = state.directory
+        for (record in records) {
+            val id = TargetId(record.key)
+            val known = directory.entries[id]
+            val entry = read(record)
+            if (entry == null) {
+                if (known != null) log.belief("targets", "A target left the list.", "target" to id.value)
+                directory = directory.without(id, now)
+            } else if (entry != known) {
+                log.belief(
+                    "targets",
+                    if (known == null) "A target joined the list." else "A target's entry changed.",
+                    "target" to id.value,
+                    "draining" to entry.isDraining,
+                )
+                directory = directory.with(entry)
+            }
+        }
+        state.adoptDirectory(directory)
+    }
+
+    override fun onCurrent(now: Moment, isRegained: Boolean) {
+        val directory = if (isRegained) state.directory.regained(now) else state.directory
+        state.adoptDirectory(directory.settled(now))
+    }
+
+    private fun read(record: KeyedRecord): TargetEntry? {
+        val value = record.value ?: return null
+        return when (val read = documents.readTarget(record.key, value)) {
+            is Either.Left -> {
+                log.belief("targets", "Ignored an entry.", "target" to record.key, "reason" to read.value)
+                null
+            }
+            is Either.Right -> read.value
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -0,0 +1,61 @@
+package org.heatherwind.gateway.telemetry
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.GaugeWithCallback
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.heatherwind.core.result.ResultCode
+import java.io.ByteArrayOutputStream
+
+/** The metrics of one router, in a registry of its own. */
+public class GatewayMetrics {
+    private val registry = PrometheusRegistry()
+
+    private val requests = Counter.builder().name("heatherwind_requests_total")
+        .help("Requests by route and result code.").labelNames("route", "code").register(registry)
+    private val sends = Counter.builder().name("heatherwind_sends_total")
+        .help("Requests sent to targets, by service and whether first or repeated.")
+        .labelNames("service", "send").register(registry)
+    private val firstPiece = Histogram.builder().name("heatherwind_first_piece_seconds")
+        .help("Time from arrival to the first piece of an answer.").labelNames("route")
+        .classicOnly().register(registry)
+    private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
+        .help("Log lines dropped at the rate limit.").register(registry)
+
+    /** Counts a request of [route] that ended with [code]. */
+    public fun countRequest(route: String, code: ResultCode) {
+        requests.labelValues(route, code.number.toString()).inc()
+    }
+
+    /** Counts a request sent to a target of [service]. */
+    public fun countSend(service: String, isFirst: Boolean) {
+        sends.labelValues(service, if (isFirst) "first" else "repeated").inc()
+    }
+
+    /** Notes the time to the first piece of an answer. */
+    public fun observeFirstPiece(route: String, milliseconds: Long) {
+        firstPiece.labelValues(route).observe(milliseconds / MILLISECONDS_PER_SECOND)
+    }
+
+    /** Counts a log line that was dropped. */
+    public fun countDroppedLine() {
+        droppedLines.inc()
+    }
+
+    /** Adds a gauge whose value is read from [value] when the metrics are collected. */
+    public fun gauge(name: String, help: String, value: () -> Double) {
+        GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
+    }
+
+    /** All metrics in the text format of Prometheus. */
+    public fun render(): ByteArray {
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(out, registry.scrape())
+        return out.toByteArray()
+    }
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1_000.0
+    }
+}
--- a/operator/src/main/kotlin/org/heatherwind/operator/client/CallerClient.kt
+++ b/operator/src/main/kotlin/org/heatherwind/operator/client/CallerClient.kt
@@ -24,7 +24,7 @@
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import org.heatherwind.core.result.ResultCode
-import org.heatherwind.platform.HttpClients
+import org.heatherwind.clients.HttpClients
 import java.io.IOException
 
 /** What a caller got. */
--- a/operator/src/main/kotlin/org/heatherwind/operator/client/OperatorClient.kt
+++ b/operator/src/main/kotlin/org/heatherwind/operator/client/OperatorClient.kt
@@ -12,7 +12,7 @@
 import io.ktor.http.isSuccess
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.json.Json
-import org.heatherwind.platform.HttpClients
+import org.heatherwind.clients.HttpClients
 import org.heatherwind.protocol.operations.BudgetMessage
 import org.heatherwind.protocol.operations.BudgetReport
 import org.heatherwind.protocol.operations.ConfigurationReport
--- a/operator/src/main/kotlin/org/heatherwind/operator/demonstration/CuttableLog.kt
+++ b/operator/src/main/kotlin/org/heatherwind/operator/demonstration/CuttableLog.kt
@@ -2,9 +2,9 @@
 
 import arrow.core.Either
 import arrow.core.left
-import org.heatherwind.platform.log.LogFailure
-import org.heatherwind.platform.log.LogPage
-import org.heatherwind.platform.log.LogService
+import org.heatherwind.clients.log.LogFailure
+import org.heatherwind.clients.log.LogPage
+import org.heatherwind.clients.log.LogService
 
 /** One router's way to the log service, which a partition can cut. */
 public class CuttableLog(private val log: LogService) : LogService {
--- a/operator/src/main/kotlin/org/heatherwind/operator/demonstration/LocalFleet.kt
+++ b/operator/src/main/kotlin/org/heatherwind/operator/demonstration/LocalFleet.kt
@@ -5,7 +5,7 @@
 import org.heatherwind.core.identity.DataCentreId
 import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.operator.client.OperatorClient
-import org.heatherwind.platform.instances.ListedInstance
+import org.heatherwind.clients.instances.ListedInstance
 import org.heatherwind.protocol.document.ConfigurationDocument
 import org.heatherwind.protocol.operations.BudgetMessage
 import org.heatherwind.protocol.operations.PublishMessage
--- a/operator/src/test/kotlin/org/heatherwind/operator/demonstration/BadInputTest.kt
+++ b/operator/src/test/kotlin/org/heatherwind/operator/demonstration/BadInputTest.kt
@@ -7,7 +7,7 @@
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.operator.client.CallerClient
 import org.heatherwind.operator.client.CallerResult
-import org.heatherwind.platform.HttpClients
+import org.heatherwind.clients.HttpClients
 import org.heatherwind.standins.targets.EngineBehaviour
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/router/src/main/kotlin/org/heatherwind/router/configuration/ConfigurationKeeper.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/configuration/ConfigurationKeeper.kt
@@ -9,9 +9,9 @@
 import org.heatherwind.core.configuration.ConfigurationState
 import org.heatherwind.core.configuration.ConfigurationVersion
 import org.heatherwind.core.configuration.PublicationResult
-import org.heatherwind.platform.log.LogEntry
-import org.heatherwind.platform.log.LogFailure
-import org.heatherwind.platform.log.LogService
+import org.heatherwind.clients.log.LogEntry
+import org.heatherwind.clients.log.LogFailure
+import org.heatherwind.clients.log.LogService
 import org.heatherwind.protocol.record.RecordCodec
 import org.heatherwind.router.shard.ShardStreams
 import java.util.concurrent.ConcurrentHashMap
--- a/router/src/main/kotlin/org/heatherwind/router/peer/AbandonedReservations.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/AbandonedReservations.kt
@@ -4,7 +4,7 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import org.heatherwind.core.home.HomeEvent
-import org.heatherwind.platform.instances.ListedInstance
+import org.heatherwind.clients.instances.ListedInstance
 import org.heatherwind.router.shard.ShardRunners
 import java.util.concurrent.TimeUnit
 
--- a/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
@@ -13,7 +13,7 @@
 import org.heatherwind.core.ledger.SettlementOutcome
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.routing.Rendezvous
-import org.heatherwind.platform.instances.ListedInstance
+import org.heatherwind.clients.instances.ListedInstance
 import org.heatherwind.protocol.peer.HomeGrpcKt
 import org.heatherwind.router.shard.ShardRunners
 import java.util.concurrent.TimeUnit
--- a/router/src/main/kotlin/org/heatherwind/router/peer/Membership.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/Membership.kt
@@ -6,9 +6,9 @@
 import org.heatherwind.core.identity.DataCentreId
 import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.core.routing.Rendezvous
-import org.heatherwind.platform.instances.InstanceCondition
-import org.heatherwind.platform.instances.InstanceList
-import org.heatherwind.platform.instances.ListedInstance
+import org.heatherwind.clients.instances.InstanceCondition
+import org.heatherwind.clients.instances.InstanceList
+import org.heatherwind.clients.instances.ListedInstance
 
 private val logger = KotlinLogging.logger("membership")
 
--- a/router/src/main/kotlin/org/heatherwind/router/shard/ShardAppender.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardAppender.kt
@@ -7,7 +7,7 @@
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.ledger.LedgerBatch
 import org.heatherwind.core.ledger.LedgerRecord
-import org.heatherwind.platform.log.LogService
+import org.heatherwind.clients.log.LogService
 import org.heatherwind.protocol.record.RecordCodec
 import java.util.concurrent.atomic.AtomicInteger
 
--- a/router/src/main/kotlin/org/heatherwind/router/shard/ShardReader.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardReader.kt
@@ -7,10 +7,10 @@
 import org.heatherwind.core.ledger.LedgerSnapshot
 import org.heatherwind.core.ledger.LedgerState
 import org.heatherwind.core.ledger.SnapshotTaken
-import org.heatherwind.platform.log.LogEntry
-import org.heatherwind.platform.log.LogFailure
-import org.heatherwind.platform.log.LogPage
-import org.heatherwind.platform.log.LogService
+import org.heatherwind.clients.log.LogEntry
+import org.heatherwind.clients.log.LogFailure
+import org.heatherwind.clients.log.LogPage
+import org.heatherwind.clients.log.LogService
 import org.heatherwind.protocol.record.RecordCodec
 
 private val logger = KotlinLogging.logger("reader")
--- a/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
@@ -21,7 +21,7 @@
 import org.heatherwind.core.ledger.SnapshotTaken
 import org.heatherwind.core.ledger.toSnapshot
 import org.heatherwind.core.result.ResultCode
-import org.heatherwind.platform.log.LogService
+import org.heatherwind.clients.log.LogService
 
 private val logger = KotlinLogging.logger("shard")
 
--- a/standins/src/main/kotlin/org/heatherwind/standins/instances/InstanceRoutes.kt
+++ b/standins/src/main/kotlin/org/heatherwind/standins/instances/InstanceRoutes.kt
@@ -12,7 +12,7 @@
 import io.ktor.server.routing.post
 import kotlinx.serialization.json.Json
 import org.heatherwind.core.identity.InstanceId
-import org.heatherwind.platform.instances.ListedInstance
+import org.heatherwind.clients.instances.ListedInstance
 
 /** Serves [instances] over HTTP, with calls by which tests and demonstrations change it. */
 public fun Route.instanceRoutes(instances: MemoryInstanceList) {
--- a/standins/src/main/kotlin/org/heatherwind/standins/instances/MemoryInstanceList.kt
+++ b/standins/src/main/kotlin/org/heatherwind/standins/instances/MemoryInstanceList.kt
@@ -5,9 +5,9 @@
 import org.heatherwind.core.identity.Clock
 import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.core.identity.Timestamp
-import org.heatherwind.platform.instances.InstanceList
-import org.heatherwind.platform.instances.InstanceListFailure
-import org.heatherwind.platform.instances.ListedInstance
+import org.heatherwind.clients.instances.InstanceList
+import org.heatherwind.clients.instances.InstanceListFailure
+import org.heatherwind.clients.instances.ListedInstance
 import java.util.concurrent.ConcurrentLinkedDeque
 
 /** An instance list in memory that shows each change [lagMilliseconds] late. */
--- a/standins/src/main/kotlin/org/heatherwind/standins/log/LogRoutes.kt
+++ b/standins/src/main/kotlin/org/heatherwind/standins/log/LogRoutes.kt
@@ -11,12 +11,12 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import kotlinx.serialization.json.Json
-import org.heatherwind.platform.log.AppendedMessage
-import org.heatherwind.platform.log.LogFailure
-import org.heatherwind.platform.log.LogPage
-import org.heatherwind.platform.log.LogService
-import org.heatherwind.platform.log.PageMessage
-import org.heatherwind.platform.log.RecordMessage
+import org.heatherwind.clients.log.AppendedMessage
+import org.heatherwind.clients.log.LogFailure
+import org.heatherwind.clients.log.LogPage
+import org.heatherwind.clients.log.LogService
+import org.heatherwind.clients.log.PageMessage
+import org.heatherwind.clients.log.RecordMessage
 import java.util.Base64
 
 /** Serves [log] over HTTP, as the platform does. */
--- a/standins/src/main/kotlin/org/heatherwind/standins/log/MemoryLog.kt
+++ b/standins/src/main/kotlin/org/heatherwind/standins/log/MemoryLog.kt
@@ -8,10 +8,10 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.withTimeoutOrNull
-import org.heatherwind.platform.log.LogEntry
-import org.heatherwind.platform.log.LogFailure
-import org.heatherwind.platform.log.LogPage
-import org.heatherwind.platform.log.LogService
+import org.heatherwind.clients.log.LogEntry
+import org.heatherwind.clients.log.LogFailure
+import org.heatherwind.clients.log.LogPage
+import org.heatherwind.clients.log.LogService
 import java.util.concurrent.ConcurrentHashMap
 
 /** A log service in memory, with limited retention and faults. Appends of a stream are kept in one order. */
--- a/standins/src/main/kotlin/org/heatherwind/standins/log/StreamContent.kt
+++ b/standins/src/main/kotlin/org/heatherwind/standins/log/StreamContent.kt
@@ -5,9 +5,9 @@
 import arrow.core.right
 import kotlinx.collections.immutable.PersistentList
 import kotlinx.collections.immutable.persistentListOf
-import org.heatherwind.platform.log.LogEntry
-import org.heatherwind.platform.log.LogFailure
-import org.heatherwind.platform.log.LogPage
+import org.heatherwind.clients.log.LogEntry
+import org.heatherwind.clients.log.LogFailure
+import org.heatherwind.clients.log.LogPage
 
 /** The kept records of one stream; the first stands at offset [oldest]. */
 internal class StreamContent(
