Predict waits per target, remember what targets keep, and read the store at two paces

Change: placement by predicted time with the target's pace, kept parts and overdue requests; the plan is read with a wait, the list of targets at 400 ms.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -6,6 +6,18 @@
 import org.heatherwind.core.routing.Rendezvous
 import org.heatherwind.core.work.TokenDemand
 
+/**
+ * Where a request goes.
+ *
+ * @property unreadTokens prompt tokens that the target probably has to read
+ * @property expectedMilliseconds predicted time to the first event
+ */
+public class Placement(
+    public val target: TargetLoad,
+    public val unreadTokens: Long,
+    public val expectedMilliseconds: Double,
+)
+
 /** Chooses the target of a request from what this router knows of the targets. */
 public object PlacementPolicy {
     /**
@@ -19,7 +31,7 @@
         excluded: Set<TargetId>,
         connectionsPerTarget: Int,
         now: Moment,
-    ): TargetLoad? {
+    ): Placement? {
         val open = candidates.filter { it.entry.id !in excluded && it.openRequests < connectionsPerTarget }
         val healthy = open.filterNot { it.isSuspected(now) }.ifEmpty { open }
         if (healthy.isEmpty()) return null
@@ -30,21 +42,7 @@
         }
     }
 
-    /**
-     * Expected milliseconds until the first event of a request with [tokens] on [load], where [cachedTokens] of its prompt
-     * need not be read.
-     */
-    public fun expectedWait(load: TargetLoad, engine: EngineProfile, unread: Long, now: Moment): Double {
-        val busy = load.openRequests + load.foreignRequests(now)
-        val overfull = (busy - engine.slots).coerceAtLeast(0.0)
-        return (load.unreadTokens + unread) / READ_TOKENS_PER_MILLISECOND +
-            busy * MILLISECONDS_PER_RUNNING_REQUEST +
-            load.waitingRequests(now) * MILLISECONDS_PER_WAITING_REQUEST +
-            overfull * MILLISECONDS_PER_WAITING_REQUEST +
-            load.score(now) * MILLISECONDS_PER_FAILURE
-    }
-
-    /** Tokens of the prompt that a target need not read again when it holds the shared parts. */
+    /** Tokens of the prompt that other requests share with this one. */
     public fun sharedTokens(tokens: TokenDemand): Long = tokens.parts.dropLast(1).sumOf { it.tokens }
 
     private fun chooseEngine(
@@ -52,32 +50,60 @@
         engine: EngineProfile,
         tokens: TokenDemand,
         now: Moment,
-    ): TargetLoad? {
-        val affinityKey = affinityKeyOf(tokens)
-        val shared = if (affinityKey == null) 0 else sharedTokens(tokens)
-        val preferred = affinityKey?.let { key -> Rendezvous.first(key, candidates) { it.entry.id.value } }
-        return candidates.minByOrNull { load ->
-            val unread = if (load === preferred) tokens.prompt - shared else tokens.prompt
-            val fits = load.occupiedTokens + tokens.worstCase <= engine.cacheCapacityTokens
-            expectedWait(load, engine, unread.coerceAtLeast(0), now) + if (fits) 0.0 else MEMORY_PENALTY_MILLISECONDS
+    ): Placement? {
+        val preferred = affinityKeyOf(tokens)?.let { key -> Rendezvous.first(key, candidates) { it.entry.id.value } }
+        val shared = sharedTokens(tokens)
+        var best: Placement? = null
+        var bestCost = Double.MAX_VALUE
+        for (load in candidates) {
+            val kept = if (load === preferred) maxOf(shared, load.keptTokens(tokens)) else load.keptTokens(tokens)
+            val unread = (tokens.prompt - kept).coerceAtLeast(0)
+            val expected = expectedMilliseconds(load, engine, unread, now)
+            val reread = (shared - kept).coerceAtLeast(0) * REREAD_MILLISECONDS_PER_TOKEN
+            val misfit = if (load.hasMemoryFor(tokens, engine)) 0.0 else MISFIT_MILLISECONDS
+            val cost = expected * load.paceFactor(now) + reread + misfit +
+                load.overdueMilliseconds(now) + load.score(now) * FAILURE_MILLISECONDS
+            if (cost < bestCost) {
+                bestCost = cost
+                best = Placement(load, unread, expected)
+            }
         }
+        return best
     }
 
-    private fun choosePlain(candidates: List<TargetLoad>, now: Moment): TargetLoad? = candidates.minByOrNull { load ->
+    private fun expectedMilliseconds(load: TargetLoad, engine: EngineProfile, unread: Long, now: Moment): Double {
         val busy = load.openRequests + load.foreignRequests(now)
-        busy / load.entry.slots.coerceAtLeast(1) + load.waitingRequests(now) + load.score(now)
+        val excess = (busy - engine.slots).coerceAtLeast(0.0)
+        return (load.unreadTokens + unread) / READ_TOKENS_PER_MILLISECOND +
+            busy * RUNNING_MILLISECONDS +
+            (load.waitingRequests(now) + excess) * WAITING_MILLISECONDS
+    }
+
+    private fun choosePlain(candidates: List<TargetLoad>, now: Moment): Placement? {
+        val target = candidates.minByOrNull { load ->
+            val busy = load.openRequests + load.foreignRequests(now)
+            busy / load.entry.slots.coerceAtLeast(1) + load.waitingRequests(now) + load.score(now) +
+                load.overdueMilliseconds(now) / PLAIN_OVERDUE_MILLISECONDS
+        } ?: return null
+        return Placement(target, unreadTokens = 0, expectedMilliseconds = PLAIN_OVERDUE_MILLISECONDS)
     }
 
     /** The last part that other requests share; the request's own last part is never shared. */
     private fun affinityKeyOf(tokens: TokenDemand): String? =
         tokens.parts.getOrNull(tokens.parts.size - 2)?.key
 
-    /** Prompt tokens that an engine of the users reads in a millisecond, from the sheets (62 to 101). */
+    /** Prompt tokens that an engine of the users reads in a millisecond beside its other work; the sheets say 62 to 101. */
     private const val READ_TOKENS_PER_MILLISECOND = 70.0
 
     /** A running request adds to the time of each step. */
-    private const val MILLISECONDS_PER_RUNNING_REQUEST = 4.0
-    private const val MILLISECONDS_PER_WAITING_REQUEST = 60.0
-    private const val MILLISECONDS_PER_FAILURE = 80.0
-    private const val MEMORY_PENALTY_MILLISECONDS = 1_000.0
+    private const val RUNNING_MILLISECONDS = 4.0
+    private const val WAITING_MILLISECONDS = 60.0
+    private const val FAILURE_MILLISECONDS = 80.0
+    private const val MISFIT_MILLISECONDS = 1_000.0
+
+    /** Reading shared parts at a second target delays its other requests and displaces what it keeps. */
+    private const val REREAD_MILLISECONDS_PER_TOKEN = 0.02
+
+    /** A plain call that is late by this much counts like a full target. */
+    private const val PLAIN_OVERDUE_MILLISECONDS = 100.0
 }
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -1,10 +1,16 @@
 package org.heatherwind.core.placement
 
+import org.heatherwind.core.fleet.EngineProfile
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.target.TargetEntry
+import org.heatherwind.core.work.TokenDemand
 
 /** What this router knows of one target's load and health. Confined to one thread. */
 public class TargetLoad(public var entry: TargetEntry) {
+    private val unread = LinkedHashSet<OpenSend>()
+    private val prefixes = PrefixMemory(REMEMBERED_TOKENS)
+    private val pace = PaceEstimate(PACE_WEIGHT)
+
     /** Requests of this router that the target has and has not answered whole. */
     public var openRequests: Int = 0
         private set
@@ -28,22 +34,42 @@
     public var suspectedUntil: Moment = Moment.distantPast
         private set
 
-    /** Notes that a request with [unread] prompt tokens and [occupied] tokens of memory was sent. */
-    public fun recordSent(unread: Long, occupied: Long) {
+    /** Prompt tokens that the target need not read again, as far as this router's own sends tell. */
+    public fun keptTokens(tokens: TokenDemand): Long = prefixes.keptTokens(tokens.parts)
+
+    /** Notes that a request was sent of whose prompt [unreadTokens] must be read. */
+    public fun recordSent(
+        tokens: TokenDemand?,
+        unreadTokens: Long,
+        expectedMilliseconds: Double,
+        now: Moment,
+    ): OpenSend {
+        val send = OpenSend(unreadTokens, tokens?.worstCase ?: 0, expectedMilliseconds, now)
         openRequests++
-        unreadTokens += unread
-        occupiedTokens += occupied
+        unread += send
+        this.unreadTokens += send.unreadTokens
+        occupiedTokens += send.occupiedTokens
+        if (tokens != null) prefixes.remember(tokens.parts)
+        return send
     }
 
-    /** Notes that the prompt of a request with [unread] tokens was read. */
-    public fun recordRead(unread: Long) {
-        unreadTokens -= unread
+    /** Notes the first event of [send] at [now], or with [now] null that none will come. */
+    public fun recordRead(send: OpenSend, now: Moment?) {
+        if (send.isRead) return
+        send.isRead = true
+        unread -= send
+        unreadTokens -= send.unreadTokens
+        if (now != null) {
+            val actual = now.millisecondsSince(send.sentAt).toDouble()
+            pace.observe(send.expectedMilliseconds, actual, now)
+        }
     }
 
-    /** Notes that a request with [occupied] tokens of memory ended. */
-    public fun recordEnded(occupied: Long) {
+    /** Notes that [send] ended. */
+    public fun recordEnded(send: OpenSend) {
+        recordRead(send, now = null)
         openRequests--
-        occupiedTokens -= occupied
+        occupiedTokens -= send.occupiedTokens
     }
 
     /** Takes in the target's own word of its load at [now]. */
@@ -59,6 +85,16 @@
     /** Requests that wait at the target, as last reported. */
     public fun waitingRequests(now: Moment): Double = reportedWaiting * freshness(now)
 
+    /** How much slower than predicted first events have come lately. */
+    public fun paceFactor(now: Moment): Double = pace.factorAt(now)
+
+    /** Milliseconds by which the oldest request without a first event is later than predicted. */
+    public fun overdueMilliseconds(now: Moment): Double {
+        val oldest = unread.firstOrNull() ?: return 0.0
+        val late = now.millisecondsSince(oldest.sentAt) - oldest.expectedMilliseconds * OVERDUE_FACTOR
+        return (late - OVERDUE_GRACE_MILLISECONDS).coerceAtLeast(0.0)
+    }
+
     /** Notes a whole answer. */
     public fun recordSuccess(now: Moment) {
         consecutiveFailures = 0
@@ -85,6 +121,10 @@
     /** Whether the target gets no ordinary work at [now]. */
     public fun isSuspected(now: Moment): Boolean = now < suspectedUntil
 
+    /** Whether [demand] fits into the target's memory beside this router's other requests. */
+    public fun hasMemoryFor(demand: TokenDemand, engine: EngineProfile): Boolean =
+        occupiedTokens + demand.worstCase <= engine.cacheCapacityTokens
+
     /** Recent failures, fading. */
     public fun score(now: Moment): Double {
         val age = now.millisecondsSince(failureScoreAt)
@@ -110,5 +150,15 @@
 
         /** Most requests end within two seconds, so an older report names none that still run. */
         const val REPORT_FORGOTTEN_MILLISECONDS = 2_000L
+
+        /** Prompt parts of this many tokens are remembered, half of what an engine of the users keeps. */
+        const val REMEMBERED_TOKENS = 250_000L
+
+        /** A few observations are enough to follow a target that turned slow. */
+        const val PACE_WEIGHT = 0.25
+
+        /** Predictions are off by this factor often enough that less says nothing. */
+        const val OVERDUE_FACTOR = 2.0
+        const val OVERDUE_GRACE_MILLISECONDS = 100.0
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -30,6 +30,7 @@
 import org.heatherwind.gateway.state.BudgetKeeper
 import org.heatherwind.gateway.state.FleetDocuments
 import org.heatherwind.gateway.state.FleetState
+import org.heatherwind.gateway.state.FollowPace
 import org.heatherwind.gateway.state.PlanSubscriber
 import org.heatherwind.gateway.state.RetryKeeper
 import org.heatherwind.gateway.state.RouterReport
@@ -105,9 +106,9 @@
         settings.metricsAddress?.let { StatusListener(group) { StatusText(OK, metrics.render()) }.listen(it) }
         listener.listen(settings.callerAddress)
         registerGauges()
-        follow(PLAN_PAUSE_MILLISECONDS, documents.planPartition, PlanSubscriber(state, documents, log) {})
-        follow(TARGET_PAUSE_MILLISECONDS, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
-        follow(REPORT_PAUSE_MILLISECONDS, RouterReports.partition, reports)
+        follow(PLAN_PACE, documents.planPartition, PlanSubscriber(state, documents, log) {})
+        follow(TARGET_PACE, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
+        follow(REPORT_PACE, RouterReports.partition, reports)
         scope.launch { reports.publish() }
         scope.launch { tend() }
         log.process("Started.", "incarnation" to self.value, "callers" to settings.callerAddress.toString())
@@ -145,11 +146,11 @@
     public suspend fun awaitStopped(): Unit = stopped.await()
 
     private fun follow(
-        pauseMilliseconds: Long,
+        pace: FollowPace,
         partition: StreamPartition,
         subscriber: StreamSubscriber,
     ) {
-        val follower = StreamFollower(store, partition, pauseMilliseconds, clock, log, subscriber)
+        val follower = StreamFollower(store, partition, pace, clock, log, subscriber)
         scope.launch { follower.run() }
     }
 
@@ -202,10 +203,12 @@
         /** Bodies may fill an eighth of the process's memory. */
         const val BODY_MEMORY_DIVISOR = 8
 
-        /** A change must be in force within two seconds, so it is looked for several times in one. */
-        const val PLAN_PAUSE_MILLISECONDS = 250L
-        const val TARGET_PAUSE_MILLISECONDS = 250L
-        const val REPORT_PAUSE_MILLISECONDS = 800L
+        /** A change must be in force within two seconds; changes are rare, so each read waits for one. */
+        val PLAN_PACE = FollowPace(waitMilliseconds = 800, pauseMilliseconds = 100)
+
+        /** A leaving target gets no work after two seconds; entries change all the time, so reads are spaced. */
+        val TARGET_PACE = FollowPace(waitMilliseconds = 0, pauseMilliseconds = 400)
+        val REPORT_PACE = FollowPace(waitMilliseconds = 0, pauseMilliseconds = 1_000)
         const val TEND_MILLISECONDS = 500L
 
         /** The balancer takes a router out after two missed checks, a second apart. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
@@ -6,7 +6,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.identity.SteadyClock
-import org.heatherwind.core.placement.TargetLoad
+import org.heatherwind.core.placement.Placement
 import org.heatherwind.core.work.Repeatability
 import org.heatherwind.core.work.WorkRequest
 import org.heatherwind.gateway.caller.ReceivedRequest
@@ -21,22 +21,27 @@
 internal class Attempt(
     private val work: WorkRequest,
     private val received: ReceivedRequest,
-    private val target: TargetLoad,
+    private val placement: Placement,
     private val progress: DeliveryProgress,
-    private val unreadTokens: Long,
     private val urgency: Int?,
     private val protocol: CallerProtocol,
     private val client: TargetClient,
     private val clock: SteadyClock,
     private val silence: SilencePolicy,
 ) {
+    private val target = placement.target
+    private val sent = target.recordSent(
+        work.tokens,
+        placement.unreadTokens,
+        placement.expectedMilliseconds,
+        clock.now(),
+    )
     private var isRead = false
     private val splitter = EventSplitter()
 
     /** Sends the request and passes the answer on. */
     suspend fun run(): AttemptResult {
         val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
-        target.recordSent(unreadTokens, work.tokens?.worstCase ?: 0)
         var connection: ClientConnection? = null
         var isWhole = false
         try {
@@ -52,8 +57,7 @@
             note(result)
             return result
         } finally {
-            noteRead()
-            target.recordEnded(work.tokens?.worstCase ?: 0)
+            target.recordEnded(sent)
             connection?.let { client.finish(target, it, isWhole) }
         }
     }
@@ -82,7 +86,7 @@
     }
 
     private fun noteRead() {
-        if (!isRead) target.recordRead(unreadTokens)
+        if (!isRead) target.recordRead(sent, clock.now())
         isRead = true
     }
 
@@ -106,8 +110,11 @@
         if (head.status < FIRST_FINAL_STATUS) return null
         if (head.requestId != work.id) {
             connection.isClosing = true
-            return if (head.requestId == null && !head.isNotRun) AttemptResult.Broken("an answer without a name") else
-                if (head.isNotRun) AttemptResult.NotRun(head.status) else null
+            return when {
+                head.requestId != null -> null
+                head.isNotRun -> AttemptResult.NotRun(head.status)
+                else -> AttemptResult.Broken("an answer without a name")
+            }
         }
         val isEncoded = response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
         return when {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -8,8 +8,8 @@
 import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.identity.SteadyClock
 import org.heatherwind.core.identity.TargetId
+import org.heatherwind.core.placement.Placement
 import org.heatherwind.core.placement.PlacementPolicy
-import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.placement.UrgencyPolicy
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.work.Repeatability
@@ -102,11 +102,12 @@
         var lastRefusal = Refusal(ResultCode.NO_TARGET_FREE, RETRY_TARGET_MILLISECONDS)
         while (tried.size < MAXIMUM_TARGETS && sends < work.route.maximumTargets) {
             if (sends > 0 && !context.retries.tryTake(service, context.clock.now())) break
-            val target = choose(work, service, tried) ?: break
+            val placement = choose(work, service, tried) ?: break
+            val target = placement.target
             tried += target.entry.id
             if (sends == 0) context.retries.recordFirst(service, context.clock.now())
             val ranBefore = progress.mayHaveRun
-            val result = attempt(work, request, target, progress)
+            val result = attempt(work, request, placement, progress)
             context.log.request(
                 work.id,
                 "Try on a target ended.",
@@ -147,18 +148,16 @@
     private suspend fun attempt(
         work: WorkRequest,
         request: ReceivedRequest,
-        target: TargetLoad,
+        placement: Placement,
         progress: DeliveryProgress,
     ): AttemptResult {
-        val tokens = work.tokens
-        context.metrics.countSend(target.entry.service.value, isFirst = !progress.mayHaveRun)
+        context.metrics.countSend(placement.target.entry.service.value, isFirst = !progress.mayHaveRun)
         return Attempt(
             work = work,
             received = request,
-            target = target,
+            placement = placement,
             progress = progress,
-            unreadTokens = tokens?.let { it.prompt - PlacementPolicy.sharedTokens(it) } ?: 0,
-            urgency = tokens?.let { UrgencyPolicy.urgencyOf(work) },
+            urgency = work.tokens?.let { UrgencyPolicy.urgencyOf(work) },
             protocol = context.protocol,
             client = context.client,
             clock = context.clock,
@@ -166,7 +165,7 @@
         ).run()
     }
 
-    private fun choose(work: WorkRequest, service: ServiceId, tried: Set<TargetId>): TargetLoad? {
+    private fun choose(work: WorkRequest, service: ServiceId, tried: Set<TargetId>): Placement? {
         val profile: ServiceProfile? = context.state.routes?.plan?.services?.get(service)
         val connections = (profile?.maximumConnections ?: DEFAULT_CONNECTIONS) * CONNECTION_SHARE /
             context.routers().coerceAtLeast(1)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
@@ -23,6 +23,9 @@
     fun onCurrent(now: Moment, isRegained: Boolean)
 }
 
+/** [waitMilliseconds] that a read waits for a record, and [pauseMilliseconds] between reads. */
+internal data class FollowPace(val waitMilliseconds: Long, val pauseMilliseconds: Long)
+
 /**
  * Reads one partition at a steady pace: the newest record of each key first, then what is added. After records expired,
  * it begins anew.
@@ -30,7 +33,7 @@
 internal class StreamFollower(
     private val store: RecordStore,
     private val partition: StreamPartition,
-    private val pauseMilliseconds: Long,
+    private val pace: FollowPace,
     private val clock: SteadyClock,
     private val log: DecisionLog,
     private val subscriber: StreamSubscriber,
@@ -42,14 +45,14 @@
     suspend fun run() {
         while (currentCoroutineContext().isActive) {
             step()
-            delay(pauseMilliseconds)
+            delay(pace.pauseMilliseconds)
         }
     }
 
     /** Reads once. */
     suspend fun step() {
         val from = nextOffset
-        when (val read = if (from == null) store.newest(partition) else store.read(partition, from)) {
+        when (val read = if (from == null) store.newest(partition) else store.read(partition, from, pace.waitMilliseconds)) {
             is StreamRead.Records -> {
                 if (from == null) subscriber.onSnapshot(read.records) else subscriber.onRecords(read.records)
                 nextOffset = read.nextOffset
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/store/RecordStore.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/store/RecordStore.kt
@@ -41,8 +41,8 @@
 
 /** The store's keyed streams: records with offsets, of which the newest of each key is kept for good. */
 public interface RecordStore {
-    /** Records of [partition] from offset [from] on; empty when there are none yet. */
-    public suspend fun read(partition: StreamPartition, from: Long): StreamRead
+    /** Records of [partition] from offset [from] on; empty when none come within [waitMilliseconds]. */
+    public suspend fun read(partition: StreamPartition, from: Long, waitMilliseconds: Long = 0): StreamRead
 
     /** The newest record of each key of [partition]. */
     public suspend fun newest(partition: StreamPartition): StreamRead
