--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -20,10 +20,39 @@
     public var reservedTokens: Long = 0
         private set
 
+    private var ceiling: ConfirmedCeiling? = null
     private val demand = DecayingRate(startedAt, DEMAND_HALF_LIFE_MILLISECONDS)
 
-    /** Tokens that a new request may reserve. */
-    public val availableTokens: Long get() = grantedTokens - usedTokens - reservedTokens
+    /** Granted tokens that no request has reserved or used. */
+    public val availableTokens: Long get() = grantedTokens - committedTokens
+
+    /** Tokens that were used or are reserved. */
+    public val committedTokens: Long get() = usedTokens + reservedTokens
+
+    /** Tokens that a new request may reserve at [now]. */
+    public fun reservableTokens(now: Moment): Long = minOf(grantedTokens, ceiling?.at(now) ?: 0) - committedTokens
+
+    /** The ceiling that the next report should carry. */
+    public fun nextCeiling(now: Moment, neededTokens: Long): SpendCeiling {
+        val rate = demandPerSecond(now)
+        val slack = maxOf((rate * SLACK_SECONDS).toLong(), MINIMUM_SLACK_TOKENS, neededTokens + MINIMUM_SLACK_TOKENS)
+        return SpendCeiling(
+            tokens = maxOf(committedTokens, minOf(grantedTokens, committedTokens + slack)),
+            tokensPerSecond = maxOf((rate * RATE_HEADROOM).toLong(), MINIMUM_RATE_TOKENS),
+        )
+    }
+
+    /** Notes that the store confirmed [confirmed] in a call sent at [sentAt]. */
+    public fun confirm(confirmed: SpendCeiling, sentAt: Moment) {
+        ceiling = ConfirmedCeiling(confirmed, sentAt)
+    }
+
+    /** Whether the store should be told a higher ceiling before requests have to wait for it. */
+    public fun isCeilingLow(now: Moment): Boolean {
+        val left = (ceiling?.tokens ?: 0) - committedTokens
+        val roomInGrant = grantedTokens - (ceiling?.tokens ?: 0)
+        return roomInGrant > 0 && left < demandPerSecond(now) * SLACK_SECONDS * LOW_SHARE
+    }
 
     /** Notes that a request of [tokens] was asked for at [now], served or not. */
     public fun recordDemand(tokens: Long, now: Moment) {
@@ -33,9 +62,9 @@
     /** Tokens asked for per second, recent ones weighing most. */
     public fun demandPerSecond(now: Moment): Double = demand.perSecond(now)
 
-    /** Reserves [tokens], or answers false when they are not available. */
-    public fun tryReserve(tokens: Long): Boolean {
-        if (availableTokens < tokens) return false
+    /** Reserves [tokens], or answers false when they are not available at [now]. */
+    public fun tryReserve(tokens: Long, now: Moment): Boolean {
+        if (reservableTokens(now) < tokens) return false
         reservedTokens += tokens
         return true
     }
@@ -54,6 +83,21 @@
     private companion object {
         /** Follows a customer that suddenly sends more within a second or two. */
         const val DEMAND_HALF_LIFE_MILLISECONDS = 3_000.0
+
+        /** Covers the pause between two reports twice; what is left of it is lost with the process. */
+        const val SLACK_SECONDS = 0.7
+
+        /** About two requests of a short kind. */
+        const val MINIMUM_SLACK_TOKENS = 6_000L
+
+        /** Lets a customer without recent demand send a short request every few seconds of an outage. */
+        const val MINIMUM_RATE_TOKENS = 1_000L
+
+        /** Demand may rise this much while the store is out of reach; the longer the silence, the more a death costs. */
+        const val RATE_HEADROOM = 1.25
+
+        /** A report takes some milliseconds, so it is sent while part of the slack is left. */
+        const val LOW_SHARE = 0.5
     }
 }
 
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -3,6 +3,14 @@
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.Moment
 
+/**
+ * What a customer has left in the whole fleet, as far as this router knows.
+ *
+ * @property tokens prepaid tokens that no router has charged
+ * @property demandElsewherePerSecond tokens asked for at other routers
+ */
+public data class BudgetRemainder(val tokens: Long, val demandElsewherePerSecond: Double)
+
 /**
  * How much of a budget a router should hold.
  *
@@ -15,18 +23,22 @@
     val headroom: Double = DEFAULT_HEADROOM,
     val minimumTokens: Long = DEFAULT_MINIMUM_TOKENS,
 ) {
-    /** Tokens that [holding] should have available at [now]. */
-    public fun desiredTokens(holding: BudgetHolding, now: Moment): Long =
-        (holding.demandPerSecond(now) * coverMilliseconds / MILLISECONDS_PER_SECOND * headroom).toLong()
-            .coerceAtLeast(minimumTokens)
+    /** Tokens that [holding] should have available at [now]: the cover, or its part of what the customer has left. */
+    public fun desiredTokens(holding: BudgetHolding, remainder: BudgetRemainder, now: Moment): Long {
+        val demand = holding.demandPerSecond(now)
+        val cover = demand * coverMilliseconds / MILLISECONDS_PER_SECOND * headroom
+        val share = demand / (demand + remainder.demandElsewherePerSecond).coerceAtLeast(1.0)
+        val part = remainder.tokens.coerceAtLeast(0) * share
+        return minOf(cover.toLong().coerceAtLeast(minimumTokens), part.toLong().coerceAtLeast(minimumTokens))
+    }
 
     /** Whether [holding] should ask for more now, before it runs out. */
-    public fun isRefillDue(holding: BudgetHolding, now: Moment): Boolean =
-        holding.availableTokens < desiredTokens(holding, now) * REFILL_SHARE
+    public fun isRefillDue(holding: BudgetHolding, remainder: BudgetRemainder, now: Moment): Boolean =
+        holding.availableTokens < desiredTokens(holding, remainder, now) * REFILL_SHARE
 
     /** Whether [holding] has so much more than it needs that the rest should go back. */
-    public fun isReturnDue(holding: BudgetHolding, now: Moment): Boolean =
-        holding.availableTokens > desiredTokens(holding, now) * RETURN_SHARE
+    public fun isReturnDue(holding: BudgetHolding, remainder: BudgetRemainder, now: Moment): Boolean =
+        holding.availableTokens > desiredTokens(holding, remainder, now) * RETURN_SHARE
 
     /**
      * The grant that [holder] should have in all, given the store's [allocation] and [prepaidTokens]. It never raises the
@@ -38,13 +50,14 @@
         holding: BudgetHolding,
         allocation: BudgetAllocation,
         prepaidTokens: Long,
+        remainder: BudgetRemainder,
         holders: Int,
         neededTokens: Long,
         now: Moment,
     ): Long {
         val granted = allocation.grantOf(holder)
         val free = prepaidTokens - allocation.allocatedTokens
-        val missing = desiredTokens(holding, now) - (granted - holding.usedTokens - holding.reservedTokens)
+        val missing = desiredTokens(holding, remainder, now) - (granted - holding.usedTokens - holding.reservedTokens)
         if (missing <= 0 || free <= 0) return (granted + minOf(missing, 0L)).coerceAtLeast(holding.committedTokens)
         val fairPart = (free * FAIR_PART_FACTOR / holders.coerceAtLeast(1)).toLong()
         return granted + minOf(missing, maxOf(fairPart, neededTokens), free)
@@ -57,21 +70,18 @@
         /** Arrivals of one customer at one router vary by about a half over some seconds. */
         public const val DEFAULT_HEADROOM: Double = 1.5
 
-        /** A few requests of the largest kind. */
-        public const val DEFAULT_MINIMUM_TOKENS: Long = 60_000
+        /** A request or two of the largest kind at its mean size. */
+        public const val DEFAULT_MINIMUM_TOKENS: Long = 24_000
 
         private const val MILLISECONDS_PER_SECOND = 1_000.0
 
         /** Asking at this share of the aim leaves time for the answer. */
-        private const val REFILL_SHARE = 0.8
+        private const val REFILL_SHARE = 0.75
 
         /** Returning only well above the aim keeps grants from going back and forth. */
-        private const val RETURN_SHARE = 1.6
+        private const val RETURN_SHARE = 1.4
 
         /** Demand is uneven between routers, so one may take more than an equal part of what is free. */
         private const val FAIR_PART_FACTOR = 2.0
     }
 }
-
-/** Tokens of this holding that cannot be given back. */
-public val BudgetHolding.committedTokens: Long get() = usedTokens + reservedTokens
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -13,10 +13,9 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.heatherwind.core.escrow.GrantPolicy
-import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Clock
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.SteadyClock
-import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.retry.RetryAllowance
 import org.heatherwind.gateway.caller.BodyMemory
 import org.heatherwind.gateway.caller.CallerContext
@@ -33,7 +32,6 @@
 import org.heatherwind.gateway.state.FollowPace
 import org.heatherwind.gateway.state.PlanSubscriber
 import org.heatherwind.gateway.state.RetryKeeper
-import org.heatherwind.gateway.state.RouterReport
 import org.heatherwind.gateway.state.RouterReports
 import org.heatherwind.gateway.state.StreamFollower
 import org.heatherwind.gateway.state.StreamSubscriber
@@ -57,7 +55,8 @@
     private val clock: SteadyClock = SteadyClock.system,
 ) {
     private val eventLoop: EventLoop = group.next()
-    private val self = Incarnation.of(settings.instance, Timestamp(System.currentTimeMillis()))
+    private val startedAt = Clock.system.now()
+    private val self = Incarnation.of(settings.instance, startedAt)
     private val metrics = GatewayMetrics()
     private val log = DecisionLog(clock, metrics)
     private val failures = CoroutineExceptionHandler { _, failure ->
@@ -67,7 +66,15 @@
     private val state = FleetState()
     private val stopped = CompletableDeferred<Unit>()
     private val client = TargetClient(eventLoop, clock)
-    private val reports: RouterReports = RouterReports(self, store, clock, log) { report() }
+    private val reports = RouterReports(
+        self = self,
+        store = store,
+        clock = clock,
+        log = log,
+        startedAt = startedAt,
+        timeOfDay = Clock.system::now,
+        isLeaving = { isDraining },
+    )
     private val retries = RetryKeeper { newRetryAllowance() }
     private val bodyMemory = BodyMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
     private val budgets = BudgetKeeper(
@@ -79,8 +86,7 @@
         log = log,
         policy = GrantPolicy(),
         customerOf = { id -> state.routes?.customerNamed(id) },
-        holders = { reports.liveCount() },
-        reportedUse = { id -> reports.usedElsewhere(id) + heldUse(id) },
+        reports = reports,
     )
     private val listener = CallerListener(
         group,
@@ -95,8 +101,6 @@
             ),
         ),
     )
-    private var reportSequence = 0L
-
     @Volatile
     private var isDraining = false
 
@@ -109,7 +113,8 @@
         follow(PLAN_PACE, documents.planPartition, PlanSubscriber(state, documents, log) {})
         follow(TARGET_PACE, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
         follow(REPORT_PACE, RouterReports.partition, reports)
-        scope.launch { reports.publish() }
+        reports.budgets = budgets
+        scope.launch { reports.run(onEstablished = { scope.launch { budgets.closePredecessors() } }) }
         scope.launch { tend() }
         log.process("Started.", "incarnation" to self.value, "callers" to settings.callerAddress.toString())
     }
@@ -162,17 +167,10 @@
         }
     }
 
-    private fun readiness(): StatusText = StatusText(if (state.isReady && !isDraining) OK else UNAVAILABLE, ByteArray(0))
-
-    private fun report(): RouterReport = RouterReport(
-        incarnation = self.value,
-        sequence = reportSequence++,
-        usedTokens = budgets.holdings().mapKeys { it.key.value }.mapValues { it.value.usedTokens },
-        isLeaving = isDraining,
-    )
-
-    private fun heldUse(customer: CustomerId): Long =
-        budgets.holdings()[customer]?.usedTokens ?: 0
+    private fun readiness(): StatusText {
+        val isReady = state.isReady && reports.isEstablished && !isDraining
+        return StatusText(if (isReady) OK else UNAVAILABLE, ByteArray(0))
+    }
 
     private fun newRetryAllowance() = RetryAllowance(
         ratio = settings.retryRatio * RETRY_MARGIN,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -76,8 +76,7 @@
         val customer = work.customer
         val tokens = work.tokens
         if (customer == null || tokens == null) return serveTries(work, request, progress)
-        val waitUntil = work.receivedAt.plusMilliseconds(work.route.latencyObjectiveMilliseconds / 2)
-        val reservation = when (val decision = context.budgets.reserve(customer, tokens.worstCase, waitUntil)) {
+        val reservation = when (val decision = context.budgets.reserve(customer, tokens.worstCase, work.objective)) {
             BudgetDecision.Exhausted -> return Refusal(ResultCode.BUDGET_EXHAUSTED)
             BudgetDecision.Undivided -> return Refusal(ResultCode.BUDGET_UNDIVIDED, RETRY_BUDGET_MILLISECONDS)
             is BudgetDecision.Reserved -> decision
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -7,8 +7,8 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.escrow.BudgetHolding
+import org.heatherwind.core.escrow.BudgetRemainder
 import org.heatherwind.core.escrow.GrantPolicy
-import org.heatherwind.core.escrow.committedTokens
 import org.heatherwind.core.fleet.Customer
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
@@ -45,9 +45,8 @@
     private val log: DecisionLog,
     private val policy: GrantPolicy,
     private val customerOf: (CustomerId) -> Customer?,
-    private val holders: () -> Int,
-    private val reportedUse: (CustomerId) -> Long,
-) {
+    private val reports: RouterReports,
+) : ReportedBudgets {
     private val accounts = HashMap<CustomerId, Account>()
     private val ledgers = HashMap<Int, LedgerPartition>()
 
@@ -57,23 +56,22 @@
         val now = clock.now()
         val account = accounts.getOrPut(customer.id) { Account(customer.id, BudgetHolding(now)) }
         account.holding.recordDemand(tokens, now)
-        if (account.holding.tryReserve(tokens)) {
-            if (policy.isRefillDue(account.holding, now)) refill(account, neededTokens = 0)
+        if (account.holding.tryReserve(tokens, now)) {
+            if (policy.isRefillDue(account.holding, remainderOf(account), now)) refill(account, neededTokens = 0)
+            if (account.holding.isCeilingLow(now)) reports.wantPublished()
             return BudgetDecision.Reserved(customer.id, tokens)
         }
-        while (clock.now() < until) {
-            val change = refill(account, tokens)
-            val isDone = withTimeoutOrNull(until.millisecondsSince(clock.now()).coerceAtLeast(1)) { change.await() }
-            if (account.holding.tryReserve(tokens)) return BudgetDecision.Reserved(customer.id, tokens)
-            if (isDone == GrantChange.SHORT) break
-            if (isDone == GrantChange.FAILED) delay(RETRY_PAUSE_MILLISECONDS)
-        }
-        val isShort = account.isStoreCurrent && prepaid - reportedUse(customer.id) < tokens
+        val wait = until.millisecondsSince(now).coerceAtLeast(1)
+        val isReserved = withTimeoutOrNull(wait) { reserveWithMore(account, tokens) } ?: false
+        if (isReserved) return BudgetDecision.Reserved(customer.id, tokens)
+        val known = reports.usedElsewhere(customer.id) + account.holding.usedTokens
+        val isShort = account.isStoreCurrent && prepaid - known < tokens
         log.belief(
             "budget",
             "Could not reserve tokens.",
             "customer" to customer.id.value,
             "tokens" to tokens,
+            "reservable" to account.holding.reservableTokens(clock.now()),
             "available" to account.holding.availableTokens,
             "granted" to account.holding.grantedTokens,
             "prepaid" to prepaid,
@@ -82,20 +80,91 @@
         return if (isShort) BudgetDecision.Exhausted else BudgetDecision.Undivided
     }
 
+    /** Reserves [tokens] after the grant or the ceiling was raised; false when no more tokens are free. */
+    private suspend fun reserveWithMore(account: Account, tokens: Long): Boolean {
+        while (true) {
+            if (account.holding.availableTokens < tokens) {
+                when (refill(account, tokens).await()) {
+                    GrantChange.SHORT -> return account.holding.tryReserve(tokens, clock.now())
+                    GrantChange.FAILED -> delay(RETRY_PAUSE_MILLISECONDS)
+                    GrantChange.DONE -> Unit
+                }
+            } else {
+                account.neededTokens = maxOf(account.neededTokens, tokens)
+                reports.publishSoon()
+            }
+            if (account.holding.tryReserve(tokens, clock.now())) return true
+        }
+    }
+
+    override fun present(): Map<CustomerId, BudgetReport> {
+        val now = clock.now()
+        return accounts.mapValues { (_, account) ->
+            val ceiling = account.holding.nextCeiling(now, account.neededTokens)
+            account.neededTokens = 0
+            BudgetReport(
+                usedTokens = account.holding.usedTokens,
+                ceilingTokens = ceiling.tokens,
+                ceilingPerSecond = ceiling.tokensPerSecond,
+                demandPerSecond = account.holding.demandPerSecond(now).toLong(),
+            )
+        }
+    }
+
+    override fun onConfirmed(reported: Map<CustomerId, BudgetReport>, sentAt: Moment) {
+        reported.forEach { (customer, budget) -> accounts[customer]?.holding?.confirm(budget.ceiling, sentAt) }
+    }
+
+    /** Closes the grants of earlier processes on this instance, until none is left. */
+    suspend fun closePredecessors() {
+        var isDone = false
+        while (!isDone) {
+            isDone = (0 until partitions).map { closePredecessors(ledgerAt(it)) }.all { it }
+            if (!isDone) delay(RETRY_PAUSE_MILLISECONDS)
+        }
+        reports.predecessors = emptyMap()
+    }
+
+    private suspend fun closePredecessors(ledger: LedgerPartition): Boolean {
+        repeat(MAXIMUM_CONFLICTS) {
+            if (!ledger.isCurrent && !ledger.refresh()) return false
+            val closed = ledger.all().mapValues { (customer, before) -> closingPredecessors(customer, before) }
+                .filter { (customer, after) -> after != ledger.allocationOf(customer) }
+            if (closed.isEmpty()) return true
+            when (val append = ledger.append(closed)) {
+                is StreamAppend.Appended -> {
+                    log.belief("budget", "Closed the grants of earlier processes.", "customers" to closed.size)
+                    return true
+                }
+                is StreamAppend.Unknown, is StreamAppend.Rejected -> {
+                    log.belief("budget", "Closing earlier grants was not confirmed.", "outcome" to append)
+                    return false
+                }
+                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(conflictPause())
+            }
+        }
+        return false
+    }
+
+    private fun closingPredecessors(customer: CustomerId, allocation: BudgetAllocation): BudgetAllocation =
+        allocation.grants.keys.filter { it.instance == self.instance && it != self }.fold(allocation) { open, process ->
+            val charge = reports.predecessors[process]?.let { it[customer] ?: 0 } ?: Long.MAX_VALUE
+            open.closing(process, minOf(charge, open.grantOf(process)))
+        }
+
     /** Ends a reservation; [used] tokens were consumed. */
     fun settle(reservation: BudgetDecision.Reserved, used: Long) {
         accounts[reservation.customer]?.holding?.settle(reservation.tokens, used)
     }
 
-    /** Tokens used and granted here, for each customer. */
-    fun holdings(): Map<CustomerId, BudgetHolding> = accounts.mapValues { it.value.holding }
-
     /** Gives back what is held without need, and asks for what runs low. */
     fun tend() {
         val now = clock.now()
         accounts.values.forEach { account ->
-            val isDue = policy.isReturnDue(account.holding, now) || policy.isRefillDue(account.holding, now)
-            if (isDue && account.holding.grantedTokens > 0) refill(account, neededTokens = 0)
+            val remainder = remainderOf(account)
+            val isDue = policy.isReturnDue(account.holding, remainder, now) ||
+                policy.isRefillDue(account.holding, remainder, now)
+            if (isDue && account.holding.grantedTokens > 0 && !account.isClosing) refill(account, neededTokens = 0)
         }
     }
 
@@ -143,14 +212,14 @@
             } else {
                 allocation.withGrant(self, after)
             }
-            when (val append = ledger.append(account.id, changed)) {
+            when (val append = ledger.append(mapOf(account.id to changed))) {
                 is StreamAppend.Appended -> {
                     account.holding.setGranted(after)
                     account.certainTokens = Long.MAX_VALUE
                     logChange(account, before, after, changed)
                     return GrantChange.DONE
                 }
-                StreamAppend.Conflict -> delay(conflictPause())
+                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(conflictPause())
                 is StreamAppend.Rejected -> return unconfirmed(account, append)
                 is StreamAppend.Unknown -> {
                     account.certainTokens = minOf(account.certainTokens, before, after)
@@ -175,12 +244,23 @@
             account.holding,
             allocation,
             prepaid,
-            holders(),
+            remainderOf(account),
+            reports.liveCount(),
             neededTokens,
             clock.now(),
         )
     }
 
+    /** What the customer has left, by the last read of its allocation and the last reports of use. */
+    private fun remainderOf(account: Account): BudgetRemainder {
+        val prepaid = customerOf(account.id)?.prepaidTokens ?: 0
+        val closed = ledgerOf(account.id).allocationOf(account.id).closedTokens
+        return BudgetRemainder(
+            tokens = prepaid - closed - account.holding.committedTokens - reports.usedElsewhere(account.id),
+            demandElsewherePerSecond = reports.demandElsewhere(account.id),
+        )
+    }
+
     private fun logChange(account: Account, before: Long, after: Long, allocation: BudgetAllocation): Unit = log.belief(
         "budget",
         "A grant changed.",
@@ -193,14 +273,18 @@
 
     private fun conflictPause(): Long = (CONFLICT_PAUSE_MILLISECONDS * (1 + Math.random())).toLong()
 
-    private fun ledgerOf(customer: CustomerId): LedgerPartition {
-        val index = Rendezvous.partitionOf(customer.value, partitions)
-        return ledgers.getOrPut(index) { LedgerPartition(store, StreamPartition(STREAM, index)) }
-    }
+    private fun ledgerOf(customer: CustomerId): LedgerPartition =
+        ledgerAt(Rendezvous.partitionOf(customer.value, partitions))
+
+    private fun ledgerAt(index: Int): LedgerPartition =
+        ledgers.getOrPut(index) { LedgerPartition(store, StreamPartition(STREAM, index)) }
 
     private class Account(val id: CustomerId, val holding: BudgetHolding) {
         var change: CompletableDeferred<GrantChange>? = null
         var isClosing = false
+
+        /** The largest request that waits for a higher ceiling. */
+        var neededTokens = 0L
         var isStoreCurrent = false
 
         /** A change whose outcome is unknown may take effect later, so no more than this is used until one is confirmed. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -12,7 +12,9 @@
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.gateway.store.AppendCondition
 import org.heatherwind.gateway.store.KeyedRecord
+import org.heatherwind.gateway.store.NewRecord
 import org.heatherwind.gateway.store.RecordStore
 import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.store.StreamPartition
@@ -49,13 +51,17 @@
         return isCurrent
     }
 
-    /** Appends [allocation] if nothing was added since the last read. */
-    suspend fun append(customer: CustomerId, allocation: BudgetAllocation): StreamAppend {
+    /** All allocations as last read. */
+    fun all(): Map<CustomerId, BudgetAllocation> = allocations.toMap()
+
+    /** Appends [changed] if nothing was added since the last read. */
+    suspend fun append(changed: Map<CustomerId, BudgetAllocation>): StreamAppend {
         val expected = nextOffset ?: return StreamAppend.Conflict
         isCurrent = false
-        val append = store.append(partition, customer.value, encode(allocation), expected)
+        val records = changed.map { (customer, allocation) -> NewRecord(customer.value, encode(allocation)) }
+        val append = store.append(partition, records, AppendCondition.EndsAt(expected))
         if (append is StreamAppend.Appended) {
-            allocations[customer] = allocation
+            allocations += changed
             nextOffset = append.endOffset
             isCurrent = true
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -1,19 +1,37 @@
 package org.heatherwind.gateway.state
 
 import kotlinx.serialization.Serializable
+import org.heatherwind.core.escrow.SpendCeiling
 
 /**
  * What one router tells the others about once a second.
  *
  * @property incarnation the process that reports
+ * @property epoch grows with each start on the same instance; the store turns away reports of an earlier one
  * @property sequence grows with each report of the process
- * @property usedTokens tokens charged since its start, by customer
+ * @property epochMilliseconds time of day on the reporting instance
+ * @property budgets what it charged and may charge, by customer
+ * @property predecessors what earlier processes on the same instance may have charged, while their grants are open
  * @property isLeaving whether it takes no new callers
  */
 @Serializable
 internal data class RouterReport(
     val incarnation: String,
+    val epoch: Long,
     val sequence: Long,
-    val usedTokens: Map<String, Long> = emptyMap(),
+    val epochMilliseconds: Long,
+    val budgets: Map<String, BudgetReport> = emptyMap(),
+    val predecessors: Map<String, Map<String, Long>> = emptyMap(),
     val isLeaving: Boolean = false,
 )
+
+/** A router's word on one budget: tokens charged, the ceiling until its next word, and tokens asked for per second. */
+@Serializable
+internal data class BudgetReport(
+    val usedTokens: Long,
+    val ceilingTokens: Long,
+    val ceilingPerSecond: Long,
+    val demandPerSecond: Long = 0,
+) {
+    val ceiling: SpendCeiling get() = SpendCeiling(ceilingTokens, ceilingPerSecond)
+}
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
@@ -1,8 +1,10 @@
 package org.heatherwind.gateway.state
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.heatherwind.core.identity.CustomerId
@@ -10,50 +12,191 @@
 import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.gateway.store.AppendCondition
 import org.heatherwind.gateway.store.KeyedRecord
+import org.heatherwind.gateway.store.NewRecord
 import org.heatherwind.gateway.store.RecordStore
 import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.store.StreamPartition
+import org.heatherwind.gateway.store.StreamRead
 import org.heatherwind.gateway.telemetry.DecisionLog
 
-/** Publishes this router's report and keeps those of the others. */
+/** What this router reports of its budgets, and hears of the confirmation. */
+internal interface ReportedBudgets {
+    /** The present state, by customer. */
+    fun present(): Map<CustomerId, BudgetReport>
+
+    /** The store confirmed [reported], sent at [sentAt]. */
+    fun onConfirmed(reported: Map<CustomerId, BudgetReport>, sentAt: Moment)
+}
+
+/**
+ * Publishes this router's report and keeps those of the others. Reports of one instance are fenced by an epoch, so that a
+ * late report of an earlier process can never follow those of its successor. Confined to the event loop.
+ */
 internal class RouterReports(
     private val self: Incarnation,
     private val store: RecordStore,
     private val clock: SteadyClock,
     private val log: DecisionLog,
-    private val present: () -> RouterReport,
+    private val startedAt: Timestamp,
+    private val timeOfDay: () -> Timestamp,
+    private val isLeaving: () -> Boolean,
 ) : StreamSubscriber {
+    /** The budgets that reports carry. */
+    lateinit var budgets: ReportedBudgets
+
     private val latest = HashMap<InstanceId, Known>()
     private var contactAt = Moment.distantPast
+    private var epoch = 0L
+    private var sequence = 0L
+    private var unconfirmed: SentReport? = null
+    private var wanted = CompletableDeferred<Unit>()
+    private var published = CompletableDeferred<Unit>()
+
+    /** What earlier processes on this instance may have charged, by process and customer; empty once that is settled. */
+    var predecessors: Map<Incarnation, Map<CustomerId, Long>> = emptyMap()
+
+    /** Whether earlier processes on this instance can no longer report. */
+    var isEstablished = false
+        private set
 
     /** Routers that report, this one included. Silence while the store is out of reach removes none. */
     fun liveCount(): Int {
         val now = minOf(clock.now(), contactAt)
         val others = latest.count { (instance, known) ->
-            instance != self.instance && now.millisecondsSince(known.seenAt) < FORGOTTEN_MILLISECONDS
+            instance != self.instance && now.millisecondsSince(known.seenAt) < FORGOTTEN_MILLISECONDS &&
+                !known.report.isLeaving
         }
         return others + 1
     }
 
-    /** Tokens of [customer] charged by all known processes other than this one, as last reported. */
+    /** Tokens of [customer] charged by the present processes of other instances, as last reported. */
     fun usedElsewhere(customer: CustomerId): Long = latest.values.sumOf { known ->
-        if (known.report.incarnation == self.value) 0 else known.report.usedTokens[customer.value] ?: 0
+        if (known.report.incarnation == self.value) 0 else known.report.budgets[customer.value]?.usedTokens ?: 0
+    }
+
+    /** Tokens of [customer] asked for per second at other routers, as last reported. */
+    fun demandElsewhere(customer: CustomerId): Double = latest.values.sumOf { known ->
+        val isOther = known.report.incarnation != self.value && !known.report.isLeaving
+        if (isOther) known.report.budgets[customer.value]?.demandPerSecond?.toDouble() ?: 0.0 else 0.0
     }
 
-    /** Publishes until it is cancelled. */
-    suspend fun publish() {
+    /** Fences off earlier processes, then publishes until it is cancelled. */
+    suspend fun run(onEstablished: () -> Unit) {
+        while (!establish()) delay(ESTABLISH_PAUSE_MILLISECONDS)
+        onEstablished()
         while (currentCoroutineContext().isActive) {
             publishOnce()
-            delay(maxOf(INTERVAL_MILLISECONDS, liveCount() * INTERVAL_PER_ROUTER_MILLISECONDS))
+            val pause = maxOf(INTERVAL_MILLISECONDS, liveCount() * INTERVAL_PER_ROUTER_MILLISECONDS)
+            delay(MINIMUM_PAUSE_MILLISECONDS)
+            withTimeoutOrNull(pause - MINIMUM_PAUSE_MILLISECONDS) { wanted.await() }
         }
     }
 
-    /** Publishes the present report. */
+    /** Asks for a report soon, and waits until the next one was sent. */
+    suspend fun publishSoon() {
+        wanted.complete(Unit)
+        published.await()
+    }
+
+    /** Asks for a report soon. */
+    fun wantPublished() {
+        wanted.complete(Unit)
+    }
+
+    /** Publishes the present report, or first the one before it whose fate is unknown. */
     suspend fun publishOnce() {
-        val value = Json.encodeToString(RouterReport.serializer(), present()).encodeToByteArray()
-        val append = store.append(partition, self.instance.value, value)
-        if (append !is StreamAppend.Appended) log.belief("reports", "A report was not confirmed.", "outcome" to append)
+        wanted = CompletableDeferred()
+        if (unconfirmed != null) send()
+        if (unconfirmed == null) {
+            unconfirmed = compose()
+            send()
+        }
+        published.complete(Unit)
+        published = CompletableDeferred()
+    }
+
+    private fun compose(): SentReport {
+        sequence++
+        val reported = budgets.present()
+        val report = RouterReport(
+            incarnation = self.value,
+            epoch = epoch,
+            sequence = sequence,
+            epochMilliseconds = timeOfDay().epochMilliseconds,
+            budgets = reported.mapKeys { it.key.value },
+            predecessors = predecessors.entries.associate { (process, charges) ->
+                process.value to charges.mapKeys { it.key.value }
+            },
+            isLeaving = isLeaving(),
+        )
+        return SentReport(Json.encodeToString(RouterReport.serializer(), report).encodeToByteArray(), reported, clock.now())
+    }
+
+    private suspend fun send() {
+        val report = unconfirmed ?: return
+        val condition = AppendCondition.NextOf(self.instance.value, epoch, sequence)
+        when (val append = store.append(partition, listOf(NewRecord(self.instance.value, report.bytes)), condition)) {
+            is StreamAppend.Appended -> {
+                unconfirmed = null
+                budgets.onConfirmed(report.budgets, report.composedAt)
+            }
+            is StreamAppend.OutOfSequence -> {
+                log.belief("reports", "A report was out of sequence.", "sent" to sequence, "expected" to append.expected)
+                sequence = append.expected - 1
+                unconfirmed = null
+            }
+            StreamAppend.Conflict -> {
+                log.belief("reports", "Reports of this process are fenced off.", "epoch" to epoch)
+                unconfirmed = null
+                establish()
+            }
+            is StreamAppend.Rejected, is StreamAppend.Unknown ->
+                log.belief("reports", "A report was not confirmed.", "sequence" to sequence, "outcome" to append)
+        }
+    }
+
+    private suspend fun establish(): Boolean {
+        if (!readAll()) return false
+        val next = (latest[self.instance]?.report?.epoch ?: 0) + 1
+        val fence = AppendCondition.NextOf(self.instance.value, next, sequence = 0)
+        val outcome = store.append(partition, emptyList(), fence)
+        if (outcome !is StreamAppend.Appended || !readAll()) return false
+        epoch = next
+        sequence = 0
+        latest[self.instance]?.report?.let { notePredecessor(it) }
+        isEstablished = true
+        log.belief("reports", "Fenced off earlier processes.", "epoch" to epoch, "predecessors" to predecessors.size)
+        return true
+    }
+
+    private suspend fun readAll(): Boolean {
+        val read = store.newest(partition)
+        if (read !is StreamRead.Records) return false
+        onSnapshot(read.records)
+        return true
+    }
+
+    /** Works out what the last process may have charged after its last report. */
+    private fun notePredecessor(report: RouterReport) {
+        if (report.incarnation == self.value) return
+        val silentMilliseconds = startedAt.millisecondsSince(Timestamp(report.epochMilliseconds))
+        val charges = report.budgets.entries.associate { (customer, budget) ->
+            val charge = if (silentMilliseconds < 0) Long.MAX_VALUE else budget.ceiling.after(silentMilliseconds)
+            CustomerId(customer) to charge
+        }
+        val earlier = report.predecessors.entries.associate { (process, charged) ->
+            Incarnation(process) to charged.mapKeys { CustomerId(it.key) }
+        }
+        predecessors = earlier + (Incarnation(report.incarnation) to charges)
+        log.belief(
+            "budget",
+            "An earlier process may have charged up to its ceilings.",
+            "process" to report.incarnation,
+            "silentMilliseconds" to silentMilliseconds,
+        )
     }
 
     override fun onSnapshot(records: List<KeyedRecord>): Unit = onRecords(records)
@@ -79,16 +222,28 @@
 
     private class Known(val report: RouterReport, val seenAt: Moment)
 
+    private class SentReport(
+        val bytes: ByteArray,
+        val budgets: Map<CustomerId, BudgetReport>,
+        val composedAt: Moment,
+    )
+
     companion object {
         /** Where reports lie. */
         val partition = StreamPartition("routers")
 
-        /** Often enough to follow additions and losses within the seconds that shares of limits may be wrong. */
-        private const val INTERVAL_MILLISECONDS = 1_000L
+        /** What a router may charge between two reports is lost to the customer when it dies, so they are frequent. */
+        private const val INTERVAL_MILLISECONDS = 300L
+
+        /** Reports that budgets ask for are gathered for this long. */
+        private const val MINIMUM_PAUSE_MILLISECONDS = 60L
 
         /** Keeps the appends of a large fleet to about a hundred a second. */
         private const val INTERVAL_PER_ROUTER_MILLISECONDS = 10L
 
+        /** Pause before fencing is tried again. */
+        private const val ESTABLISH_PAUSE_MILLISECONDS = 100L
+
         /** Several intervals, so that a lost report does not change the count. */
         private const val FORGOTTEN_MILLISECONDS = 5_000L
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/store/RecordStore.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/store/RecordStore.kt
@@ -24,14 +24,32 @@
     public data class Unavailable(val reason: String) : StreamRead
 }
 
+/** A record to append. */
+public class NewRecord(public val key: String, public val value: ByteArray)
+
+/** When an append takes effect. */
+public sealed interface AppendCondition {
+    /** Only if the partition ends at [offset]. */
+    public data class EndsAt(val offset: Long) : AppendCondition
+
+    /**
+     * Only as the next append of [producer]: [sequence] follows the last one, and no later [epoch] has begun. The same
+     * append sent again takes effect once.
+     */
+    public data class NextOf(val producer: String, val epoch: Long, val sequence: Long) : AppendCondition
+}
+
 /** What an append did. */
 public sealed interface StreamAppend {
     /** The record is kept; the partition now ends at [endOffset]. */
     public data class Appended(val endOffset: Long) : StreamAppend
 
-    /** The partition did not end at the expected offset; nothing was done. */
+    /** The condition did not hold; nothing was done. */
     public data object Conflict : StreamAppend
 
+    /** The producer's next append must have the number [expected]; nothing was done. */
+    public data class OutOfSequence(val expected: Long) : StreamAppend
+
     /** Nothing was done. */
     public data class Rejected(val reason: String) : StreamAppend
 
@@ -47,11 +65,10 @@
     /** The newest record of each key of [partition]. */
     public suspend fun newest(partition: StreamPartition): StreamRead
 
-    /** Appends [value] under [key], only if the partition ends at [expectedEnd] where that is given. */
+    /** Appends [records], all or none, as [condition] says. No records at all just bring the condition into force. */
     public suspend fun append(
         partition: StreamPartition,
-        key: String,
-        value: ByteArray,
-        expectedEnd: Long? = null,
+        records: List<NewRecord>,
+        condition: AppendCondition,
     ): StreamAppend
 }
