--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -85,10 +85,10 @@
         const val DEMAND_HALF_LIFE_MILLISECONDS = 3_000.0
 
         /** Covers the pause between two reports twice; what is left of it is lost with the process. */
-        const val SLACK_SECONDS = 0.7
+        const val SLACK_SECONDS = 0.5
 
-        /** About two requests of a short kind. */
-        const val MINIMUM_SLACK_TOKENS = 6_000L
+        /** About one request of a short kind; larger ones wait for a report. */
+        const val MINIMUM_SLACK_TOKENS = 2_500L
 
         /** Lets a customer without recent demand send a short request every few seconds of an outage. */
         const val MINIMUM_RATE_TOKENS = 1_000L
@@ -97,7 +97,7 @@
         const val RATE_HEADROOM = 1.25
 
         /** A report takes some milliseconds, so it is sent while part of the slack is left. */
-        const val LOW_SHARE = 0.5
+        const val LOW_SHARE = 0.6
     }
 }
 
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -29,7 +29,7 @@
         val cover = demand * coverMilliseconds / MILLISECONDS_PER_SECOND * headroom
         val share = demand / (demand + remainder.demandElsewherePerSecond).coerceAtLeast(1.0)
         val part = remainder.tokens.coerceAtLeast(0) * share
-        return minOf(cover.toLong().coerceAtLeast(minimumTokens), part.toLong().coerceAtLeast(minimumTokens))
+        return minOf(cover.toLong().coerceAtLeast(minimumTokens), part.toLong())
     }
 
     /** Whether [holding] should ask for more now, before it runs out. */
@@ -57,7 +57,8 @@
     ): Long {
         val granted = allocation.grantOf(holder)
         val free = prepaidTokens - allocation.allocatedTokens
-        val missing = desiredTokens(holding, remainder, now) - (granted - holding.usedTokens - holding.reservedTokens)
+        val wanted = maxOf(desiredTokens(holding, remainder, now), neededTokens)
+        val missing = wanted - (granted - holding.committedTokens)
         if (missing <= 0 || free <= 0) return (granted + minOf(missing, 0L)).coerceAtLeast(holding.committedTokens)
         val fairPart = (free * FAIR_PART_FACTOR / holders.coerceAtLeast(1)).toLong()
         return granted + minOf(missing, maxOf(fairPart, neededTokens), free)
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
@@ -17,8 +17,8 @@
     }
 
     public companion object {
-        /** Several reports may be lost before the ceiling grows without the store. */
-        public const val GRACE_MILLISECONDS: Long = 1_000
+        /** An instance that lost power is back after about this long, so that the growth seldom counts. */
+        public const val GRACE_MILLISECONDS: Long = 1_500
 
         private const val MILLISECONDS_PER_SECOND = 1_000
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -16,6 +16,7 @@
 import org.heatherwind.core.identity.Clock
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.retry.RetryAllowance
 import org.heatherwind.gateway.caller.BodyMemory
 import org.heatherwind.gateway.caller.CallerContext
@@ -45,6 +46,7 @@
  * One router process. Everything runs on one event loop, so that state needs no locks.
  *
  * @param store reaches the store on the same event loop
+ * @param startedAt when this process began; no earlier process of the instance ran after it
  */
 public class GatewayProcess(
     private val settings: GatewaySettings,
@@ -52,10 +54,10 @@
     private val store: RecordStore,
     private val documents: FleetDocuments,
     private val protocol: CallerProtocol,
+    private val startedAt: Timestamp = Clock.system.now(),
     private val clock: SteadyClock = SteadyClock.system,
 ) {
     private val eventLoop: EventLoop = group.next()
-    private val startedAt = Clock.system.now()
     private val self = Incarnation.of(settings.instance, startedAt)
     private val metrics = GatewayMetrics()
     private val log = DecisionLog(clock, metrics)
@@ -207,7 +209,7 @@
         /** A leaving target gets no work after two seconds; entries change all the time, so reads are spaced. */
         val TARGET_PACE = FollowPace(waitMilliseconds = 0, pauseMilliseconds = 400)
         val REPORT_PACE = FollowPace(waitMilliseconds = 0, pauseMilliseconds = 1_000)
-        const val TEND_MILLISECONDS = 500L
+        const val TEND_MILLISECONDS = 250L
 
         /** The balancer takes a router out after two missed checks, a second apart. */
         const val ROTATION_MILLISECONDS = 2_500L
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -76,7 +76,9 @@
         val customer = work.customer
         val tokens = work.tokens
         if (customer == null || tokens == null) return serveTries(work, request, progress)
-        val reservation = when (val decision = context.budgets.reserve(customer, tokens.worstCase, work.objective)) {
+        val patience = maxOf(work.route.latencyObjectiveMilliseconds, BUDGET_PATIENCE_MILLISECONDS)
+        val waitUntil = minOf(work.receivedAt.plusMilliseconds(patience), work.deadline)
+        val reservation = when (val decision = context.budgets.reserve(customer, tokens.worstCase, waitUntil)) {
             BudgetDecision.Exhausted -> return Refusal(ResultCode.BUDGET_EXHAUSTED)
             BudgetDecision.Undivided -> return Refusal(ResultCode.BUDGET_UNDIVIDED, RETRY_BUDGET_MILLISECONDS)
             is BudgetDecision.Reserved -> decision
@@ -195,6 +197,9 @@
         /** Targets asked for a connection before the request is refused. */
         const val MAXIMUM_TARGETS = 4
 
+        /** A router that just lost the store may use more of its grants after about this long. */
+        const val BUDGET_PATIENCE_MILLISECONDS = 1_500L
+
         /** Grants that went elsewhere come back about once a second. */
         const val RETRY_BUDGET_MILLISECONDS = 500L
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -9,6 +9,7 @@
 import org.heatherwind.core.escrow.BudgetHolding
 import org.heatherwind.core.escrow.BudgetRemainder
 import org.heatherwind.core.escrow.GrantPolicy
+import org.heatherwind.core.escrow.HolderCharge
 import org.heatherwind.core.fleet.Customer
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
@@ -64,7 +65,8 @@
         val wait = until.millisecondsSince(now).coerceAtLeast(1)
         val isReserved = withTimeoutOrNull(wait) { reserveWithMore(account, tokens) } ?: false
         if (isReserved) return BudgetDecision.Reserved(customer.id, tokens)
-        val known = reports.usedElsewhere(customer.id) + account.holding.usedTokens
+        val known = reports.usedElsewhere(customer.id) + account.holding.usedTokens +
+            ledgerOf(customer.id).allocationOf(customer.id).certainClosedTokens
         val isShort = account.isStoreCurrent && prepaid - known < tokens
         log.belief(
             "budget",
@@ -85,7 +87,7 @@
         while (true) {
             if (account.holding.availableTokens < tokens) {
                 when (refill(account, tokens).await()) {
-                    GrantChange.SHORT -> return account.holding.tryReserve(tokens, clock.now())
+                    GrantChange.SHORT -> if (remainderOf(account).tokens < tokens) return false else delay(SHORT_PAUSE_MILLISECONDS)
                     GrantChange.FAILED -> delay(RETRY_PAUSE_MILLISECONDS)
                     GrantChange.DONE -> Unit
                 }
@@ -148,8 +150,8 @@
 
     private fun closingPredecessors(customer: CustomerId, allocation: BudgetAllocation): BudgetAllocation =
         allocation.grants.keys.filter { it.instance == self.instance && it != self }.fold(allocation) { open, process ->
-            val charge = reports.predecessors[process]?.let { it[customer] ?: 0 } ?: Long.MAX_VALUE
-            open.closing(process, minOf(charge, open.grantOf(process)))
+            val charges = reports.predecessors[process]
+            open.closing(process, if (charges == null) HolderCharge.unknown else charges[customer] ?: HolderCharge.none)
         }
 
     /** Ends a reservation; [used] tokens were consumed. */
@@ -208,7 +210,7 @@
             if (after == before && !isUncertain) return GrantChange.SHORT
             if (after < before) account.holding.setGranted(after)
             val changed = if (account.isClosing) {
-                allocation.closing(self, account.holding.committedTokens)
+                allocation.closing(self, HolderCharge.exactly(account.holding.committedTokens))
             } else {
                 allocation.withGrant(self, after)
             }
@@ -300,6 +302,9 @@
         const val MAXIMUM_CONFLICTS = 12
         const val CONFLICT_PAUSE_MILLISECONDS = 6.0
 
+        /** Other routers give back what they do not need a few times a second. */
+        const val SHORT_PAUSE_MILLISECONDS = 120L
+
         /** Pause after the store turned a change away. */
         const val RETRY_PAUSE_MILLISECONDS = 60L
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -75,6 +75,7 @@
 
     private fun encode(allocation: BudgetAllocation): ByteArray = buildJsonObject {
         put(CLOSED, allocation.closedTokens)
+        put(CERTAIN, allocation.certainClosedTokens)
         putJsonObject(GRANTS) { allocation.grants.forEach { (holder, tokens) -> put(holder.value, tokens) } }
     }.toString().encodeToByteArray()
 
@@ -82,7 +83,8 @@
         val document = Json.parseToJsonElement(value.decodeToString()).jsonObject
         val grants = document[GRANTS] ?: throw SerializationException("an allocation without grants")
         return BudgetAllocation(
-            closedTokens = document[CLOSED]?.jsonPrimitive?.long ?: 0,
+            closedTokens = document.getValue(CLOSED).jsonPrimitive.long,
+            certainClosedTokens = document.getValue(CERTAIN).jsonPrimitive.long,
             grants = grants.jsonObject.entries.associate { (holder, tokens) ->
                 Incarnation(holder) to tokens.jsonPrimitive.long
             }.toPersistentHashMap(),
@@ -91,6 +93,7 @@
 
     private companion object {
         const val CLOSED = "closed"
+        const val CERTAIN = "certain"
         const val GRANTS = "grants"
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.state
 
 import kotlinx.serialization.Serializable
+import org.heatherwind.core.escrow.HolderCharge
 import org.heatherwind.core.escrow.SpendCeiling
 
 /**
@@ -21,7 +22,7 @@
     val sequence: Long,
     val epochMilliseconds: Long,
     val budgets: Map<String, BudgetReport> = emptyMap(),
-    val predecessors: Map<String, Map<String, Long>> = emptyMap(),
+    val predecessors: Map<String, Map<String, ChargeReport>> = emptyMap(),
     val isLeaving: Boolean = false,
 )
 
@@ -35,3 +36,9 @@
 ) {
     val ceiling: SpendCeiling get() = SpendCeiling(ceilingTokens, ceilingPerSecond)
 }
+
+/** A router's word on what an earlier process charged. */
+@Serializable
+internal data class ChargeReport(val atLeast: Long, val atMost: Long) {
+    val charge: HolderCharge get() = HolderCharge(atLeast, atMost)
+}
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.heatherwind.core.escrow.HolderCharge
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.InstanceId
@@ -56,7 +57,7 @@
     private var published = CompletableDeferred<Unit>()
 
     /** What earlier processes on this instance may have charged, by process and customer; empty once that is settled. */
-    var predecessors: Map<Incarnation, Map<CustomerId, Long>> = emptyMap()
+    var predecessors: Map<Incarnation, Map<CustomerId, HolderCharge>> = emptyMap()
 
     /** Whether earlier processes on this instance can no longer report. */
     var isEstablished = false
@@ -128,7 +129,7 @@
             epochMilliseconds = timeOfDay().epochMilliseconds,
             budgets = reported.mapKeys { it.key.value },
             predecessors = predecessors.entries.associate { (process, charges) ->
-                process.value to charges.mapKeys { it.key.value }
+                process.value to charges.entries.associate { it.key.value to ChargeReport(it.value.atLeast, it.value.atMost) }
             },
             isLeaving = isLeaving(),
         )
@@ -184,11 +185,11 @@
         if (report.incarnation == self.value) return
         val silentMilliseconds = startedAt.millisecondsSince(Timestamp(report.epochMilliseconds))
         val charges = report.budgets.entries.associate { (customer, budget) ->
-            val charge = if (silentMilliseconds < 0) Long.MAX_VALUE else budget.ceiling.after(silentMilliseconds)
-            CustomerId(customer) to charge
+            val atMost = if (silentMilliseconds < 0) Long.MAX_VALUE else budget.ceiling.after(silentMilliseconds)
+            CustomerId(customer) to HolderCharge(budget.usedTokens, atMost)
         }
         val earlier = report.predecessors.entries.associate { (process, charged) ->
-            Incarnation(process) to charged.mapKeys { CustomerId(it.key) }
+            Incarnation(process) to charged.entries.associate { CustomerId(it.key) to it.value.charge }
         }
         predecessors = earlier + (Incarnation(report.incarnation) to charges)
         log.belief(
@@ -196,6 +197,8 @@
             "An earlier process may have charged up to its ceilings.",
             "process" to report.incarnation,
             "silentMilliseconds" to silentMilliseconds,
+            "used" to report.budgets.values.sumOf { it.usedTokens },
+            "ceilings" to report.budgets.values.sumOf { it.ceilingTokens },
         )
     }
 
@@ -233,10 +236,10 @@
         val partition = StreamPartition("routers")
 
         /** What a router may charge between two reports is lost to the customer when it dies, so they are frequent. */
-        private const val INTERVAL_MILLISECONDS = 300L
+        private const val INTERVAL_MILLISECONDS = 250L
 
         /** Reports that budgets ask for are gathered for this long. */
-        private const val MINIMUM_PAUSE_MILLISECONDS = 60L
+        private const val MINIMUM_PAUSE_MILLISECONDS = 15L
 
         /** Keeps the appends of a large fleet to about a hundred a second. */
         private const val INTERVAL_PER_ROUTER_MILLISECONDS = 10L
