--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -32,7 +32,9 @@
         connectionsPerTarget: Int,
         now: Moment,
     ): Placement? {
-        val open = candidates.filter { it.entry.id !in excluded && it.openRequests < connectionsPerTarget }
+        val open = candidates.filter {
+            !it.isReplaced && it.entry.id !in excluded && it.openRequests < connectionsPerTarget
+        }
         val healthy = open.filterNot { it.isSuspected(now) }.ifEmpty { open }
         if (healthy.isEmpty()) return null
         return if (engine != null && tokens != null) {
@@ -101,8 +103,8 @@
     private const val FAILURE_MILLISECONDS = 80.0
     private const val MISFIT_MILLISECONDS = 1_000.0
 
-    /** Reading shared parts at a second target delays its other requests and displaces what it keeps. */
-    private const val REREAD_MILLISECONDS_PER_TOKEN = 0.02
+    /** A second read costs its target time and displaces what it keeps; it pays when the wait would miss most objectives. */
+    private const val REREAD_MILLISECONDS_PER_TOKEN = 0.06
 
     /** A plain call that is late by this much counts like a full target. */
     private const val PLAIN_OVERDUE_MILLISECONDS = 100.0
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -34,6 +34,10 @@
     public var suspectedUntil: Moment = Moment.distantPast
         private set
 
+    /** Whether another target was found at the address, until the list names the new one. */
+    public var isReplaced: Boolean = false
+        private set
+
     /** Prompt tokens that the target need not read again, as far as this router's own sends tell. */
     public fun keptTokens(tokens: TokenDemand): Long = prefixes.keptTokens(tokens.parts)
 
@@ -109,6 +113,18 @@
         failureScoreAt = now
     }
 
+    /** Notes that another target answers at the address. */
+    public fun recordReplaced() {
+        isReplaced = true
+    }
+
+    /** Notes that the target shed a request at [now]: it is full whatever its last report says. */
+    public fun recordShed(now: Moment) {
+        reportedWaiting = maxOf(reportedWaiting, 1)
+        reportedAt = now
+        suspectedUntil = maxOf(suspectedUntil, now.plusMilliseconds(SHED_PAUSE_MILLISECONDS))
+    }
+
     /** Notes a connection that failed or fell silent at [now]. */
     public fun recordBroken(now: Moment) {
         consecutiveFailures++
@@ -142,6 +158,9 @@
         const val FIRST_SUSPICION_MILLISECONDS = 400L
         const val MAXIMUM_DOUBLINGS = 3
 
+        /** A place frees up within some tens of milliseconds. */
+        const val SHED_PAUSE_MILLISECONDS = 60L
+
         /** The share of past failures that one success leaves in the score. */
         const val SUCCESS_RETENTION = 0.8
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
@@ -33,12 +33,14 @@
  *
  * @property requestId the request that the answer belongs to, or null where the target does not tell
  * @property isNotRun whether the target proved that it did not run the request
+ * @property isMisdirected whether the request was meant for another target than the one at this address
  * @property isSigned whether the answer comes from the target's service and not from something before it
  */
 public data class TargetAnswerHead(
     val status: Int,
     val requestId: String?,
     val isNotRun: Boolean,
+    val isMisdirected: Boolean,
     val isSigned: Boolean,
     val load: ReportedLoad?,
 )
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
@@ -81,7 +81,12 @@
             is AttemptResult.Delivered -> target.recordSuccess(now)
             is AttemptResult.Failed -> target.recordErrorAnswer(now)
             is AttemptResult.Broken -> target.recordBroken(now)
-            is AttemptResult.NotRun, is AttemptResult.Unsent -> Unit
+            AttemptResult.Misdirected -> {
+                target.recordReplaced()
+                client.forget(target)
+            }
+            is AttemptResult.NotRun -> target.recordShed(now)
+            is AttemptResult.Unsent -> Unit
         }
     }
 
@@ -112,13 +117,13 @@
             connection.isClosing = true
             return when {
                 head.requestId != null -> null
-                head.isNotRun -> AttemptResult.NotRun(head.status)
+                head.isNotRun -> notRun(head)
                 else -> AttemptResult.Broken("an answer without a name")
             }
         }
         val isEncoded = response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
         return when {
-            head.isNotRun -> collect(connection, response) { AttemptResult.NotRun(head.status) }
+            head.isNotRun -> collect(connection, response) { notRun(head) }
             !head.isSigned || isEncoded -> AttemptResult.Broken("an answer that is not the service's")
             head.status !in SUCCESS -> collect(connection, response) { body -> failed(head, response, body) }
             isEventStream(response) -> passEvents(connection, response)
@@ -126,6 +131,9 @@
         }
     }
 
+    private fun notRun(head: TargetAnswerHead): AttemptResult =
+        if (head.isMisdirected) AttemptResult.Misdirected else AttemptResult.NotRun(head.status)
+
     private fun failed(head: TargetAnswerHead, response: HttpResponse, body: ByteArray): AttemptResult =
         AttemptResult.Failed(head.status, protocol.callerHeaders(response.headers()), body)
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/AttemptResult.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/AttemptResult.kt
@@ -13,6 +13,9 @@
     /** The target proved that it did not run the request. */
     data class NotRun(val status: Int) : AttemptResult
 
+    /** Another target answers at the address, and did not run the request. */
+    data object Misdirected : AttemptResult
+
     /** The target ran the request and answered with an error, whole. */
     class Failed(val status: Int, val headers: HttpHeaders, val body: ByteArray) : AttemptResult
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -100,13 +100,14 @@
         val service = DestinationChoice.choose(work) ?: return Refusal(ResultCode.NO_TARGET_FREE, RETRY_TARGET_MILLISECONDS)
         val tried = HashSet<TargetId>()
         var sends = 0
+        var arrivals = 0
         var lastRefusal = Refusal(ResultCode.NO_TARGET_FREE, RETRY_TARGET_MILLISECONDS)
         while (tried.size < MAXIMUM_TARGETS && sends < work.route.maximumTargets) {
-            if (sends > 0 && !context.retries.tryTake(service, context.clock.now())) break
+            if (arrivals > 0 && !context.retries.tryTake(service, context.clock.now())) break
             val placement = choose(work, service, tried) ?: break
             val target = placement.target
             tried += target.entry.id
-            if (sends == 0) context.retries.recordFirst(service, context.clock.now())
+            if (arrivals == 0) context.retries.recordFirst(service, context.clock.now())
             val ranBefore = progress.mayHaveRun
             val result = attempt(work, request, placement, progress)
             context.log.request(
@@ -117,9 +118,11 @@
                 "send" to sends,
                 "ageMilliseconds" to context.clock.now().millisecondsSince(work.receivedAt),
             )
+            if (result !is AttemptResult.Unsent) arrivals++
             when (result) {
                 is AttemptResult.Delivered -> return null
                 is AttemptResult.Unsent -> Unit
+                AttemptResult.Misdirected -> progress.mayHaveRun = ranBefore
                 is AttemptResult.NotRun -> {
                     sends++
                     progress.mayHaveRun = ranBefore
--- /dev/null
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
@@ -0,0 +1,113 @@
+package org.heatherwind.gateway.state
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.heatherwind.gateway.store.AppendCondition
+import org.heatherwind.gateway.store.KeyedRecord
+import org.heatherwind.gateway.store.NewRecord
+import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StreamAppend
+import org.heatherwind.gateway.store.StreamPartition
+import org.heatherwind.gateway.store.StreamRead
+import kotlin.random.Random
+
+/** The records that all routers of a history share. */
+internal class MemoryRecords {
+    private val partitions = HashMap<StreamPartition, MutableList<NewRecord>>()
+    private val producers = HashMap<Pair<StreamPartition, String>, Producer>()
+
+    fun of(partition: StreamPartition): MutableList<NewRecord> = partitions.getOrPut(partition) { mutableListOf() }
+
+    fun append(partition: StreamPartition, records: List<NewRecord>, condition: AppendCondition): StreamAppend {
+        val kept = of(partition)
+        when (condition) {
+            is AppendCondition.EndsAt -> if (kept.size.toLong() != condition.offset) return StreamAppend.Conflict
+            is AppendCondition.NextOf -> {
+                val producer = producers.getOrPut(partition to condition.producer) { Producer() }
+                if (condition.epoch < producer.epoch) return StreamAppend.Conflict
+                if (condition.epoch == producer.epoch) {
+                    if (condition.sequence == producer.sequence) return StreamAppend.Appended(kept.size.toLong())
+                    if (condition.sequence != producer.sequence + 1) {
+                        return StreamAppend.OutOfSequence(producer.sequence + 1)
+                    }
+                }
+                producer.epoch = condition.epoch
+                producer.sequence = condition.sequence
+            }
+        }
+        kept += records
+        return StreamAppend.Appended(kept.size.toLong())
+    }
+
+    private class Producer {
+        var epoch = -1L
+        var sequence = -1L
+    }
+}
+
+/** One router's way to the store, with seeded faults: calls refused, answers lost, appends that take effect later. */
+internal class MemoryRecordStore(
+    private val records: MemoryRecords,
+    private val random: Random,
+    private val scope: CoroutineScope,
+    private val faultShare: Double,
+) : RecordStore {
+    /** Whether nothing passes in either direction. */
+    var isCut = false
+
+    override suspend fun read(partition: StreamPartition, from: Long, waitMilliseconds: Long): StreamRead {
+        delay(LATENCY_MILLISECONDS + random.nextLong(LATENCY_MILLISECONDS))
+        if (isCut || random.nextDouble() < faultShare) return unavailable()
+        val kept = records.of(partition)
+        return StreamRead.Records(
+            kept.drop(from.toInt()).mapIndexed { index, record -> KeyedRecord(from + index, record.key, record.value) },
+            kept.size.toLong(),
+        )
+    }
+
+    override suspend fun newest(partition: StreamPartition): StreamRead {
+        delay(LATENCY_MILLISECONDS + random.nextLong(LATENCY_MILLISECONDS))
+        if (isCut || random.nextDouble() < faultShare) return unavailable()
+        val kept = records.of(partition)
+        val latest = LinkedHashMap<String, KeyedRecord>()
+        kept.forEachIndexed { offset, record -> latest[record.key] = KeyedRecord(offset.toLong(), record.key, record.value) }
+        return StreamRead.Records(latest.values.toList(), kept.size.toLong())
+    }
+
+    override suspend fun append(
+        partition: StreamPartition,
+        records: List<NewRecord>,
+        condition: AppendCondition,
+    ): StreamAppend {
+        delay(LATENCY_MILLISECONDS + random.nextLong(LATENCY_MILLISECONDS))
+        if (isCut) {
+            delay(TIMEOUT_MILLISECONDS)
+            return StreamAppend.Unknown("cut")
+        }
+        val chance = random.nextDouble()
+        return when {
+            chance < faultShare / 3 -> StreamAppend.Rejected("busy")
+            chance < faultShare * 2 / 3 -> {
+                this.records.append(partition, records, condition)
+                StreamAppend.Unknown("the answer was lost")
+            }
+            chance < faultShare -> {
+                scope.launch {
+                    delay(random.nextLong(MAXIMUM_LATENESS_MILLISECONDS))
+                    this@MemoryRecordStore.records.append(partition, records, condition)
+                }
+                StreamAppend.Unknown("done later")
+            }
+            else -> this.records.append(partition, records, condition)
+        }
+    }
+
+    private fun unavailable() = StreamRead.Unavailable("no answer")
+
+    private companion object {
+        const val LATENCY_MILLISECONDS = 4L
+        const val TIMEOUT_MILLISECONDS = 900L
+        const val MAXIMUM_LATENESS_MILLISECONDS = 6_000L
+    }
+}
