Lift a ceiling after 1.7 s without the store, and keep it loose while a customer has plenty left

Ruled out: a long grace with a steady growth, which either stalls cuts or charges too much after a power loss. Change: a silence of 1.7 s or more is charged with the whole grant, since it is mostly a cut; shorter ones stay tight.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -32,10 +32,17 @@
     /** Tokens that a new request may reserve at [now]. */
     public fun reservableTokens(now: Moment): Long = minOf(grantedTokens, ceiling?.at(now) ?: 0) - committedTokens
 
-    /** The ceiling that the next report should carry. */
-    public fun nextCeiling(now: Moment, neededTokens: Long): SpendCeiling {
+    /**
+     * The ceiling that the next report should carry. What lies between use and ceiling is lost to the customer if this
+     * process dies, so it is small unless the customer [isPlentiful].
+     */
+    public fun nextCeiling(now: Moment, neededTokens: Long, isPlentiful: Boolean): SpendCeiling {
         val rate = demandPerSecond(now)
-        val slack = maxOf((rate * SLACK_SECONDS).toLong(), MINIMUM_SLACK_TOKENS, neededTokens + MINIMUM_SLACK_TOKENS)
+        val slack = if (isPlentiful) {
+            maxOf((rate * PLENTIFUL_SLACK_SECONDS).toLong(), PLENTIFUL_SLACK_TOKENS)
+        } else {
+            maxOf((rate * SLACK_SECONDS).toLong(), MINIMUM_SLACK_TOKENS)
+        }.coerceAtLeast(neededTokens + MINIMUM_SLACK_TOKENS)
         return SpendCeiling(
             tokens = maxOf(committedTokens, minOf(grantedTokens, committedTokens + slack)),
             tokensPerSecond = maxOf((rate * RATE_HEADROOM).toLong(), MINIMUM_RATE_TOKENS),
@@ -85,7 +92,13 @@
         const val DEMAND_HALF_LIFE_MILLISECONDS = 3_000.0
 
         /** Covers the pause between two reports twice; what is left of it is lost with the process. */
-        const val SLACK_SECONDS = 0.5
+        const val SLACK_SECONDS = 0.4
+
+        /** Lasts until the ceiling is lifted without the store. */
+        const val PLENTIFUL_SLACK_SECONDS = 2.5
+
+        /** About one request of the largest kind at twice its mean size. */
+        const val PLENTIFUL_SLACK_TOKENS = 25_000L
 
         /** About one request of a short kind; larger ones wait for a report. */
         const val MINIMUM_SLACK_TOKENS = 2_500L
@@ -94,7 +107,7 @@
         const val MINIMUM_RATE_TOKENS = 1_000L
 
         /** Demand may rise this much while the store is out of reach; the longer the silence, the more a death costs. */
-        const val RATE_HEADROOM = 1.25
+        const val RATE_HEADROOM = 1.3
 
         /** A report takes some milliseconds, so it is sent while part of the slack is left. */
         const val LOW_SHARE = 0.6
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -9,7 +9,16 @@
  * @property tokens prepaid tokens that no router has charged
  * @property demandElsewherePerSecond tokens asked for at other routers
  */
-public data class BudgetRemainder(val tokens: Long, val demandElsewherePerSecond: Double)
+public data class BudgetRemainder(val tokens: Long, val demandElsewherePerSecond: Double) {
+    /** Whether the tokens last for long at [demandPerSecond] of this router and the demand elsewhere. */
+    public fun isPlentiful(demandPerSecond: Double): Boolean =
+        tokens > (demandPerSecond + demandElsewherePerSecond) * PLENTIFUL_SECONDS
+
+    private companion object {
+        /** A customer with this much left can lose a second of demand without noticing. */
+        const val PLENTIFUL_SECONDS = 25.0
+    }
+}
 
 /**
  * How much of a budget a router should hold.
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
@@ -10,15 +10,21 @@
  * @property tokensPerSecond growth of the ceiling while the store is out of reach
  */
 public data class SpendCeiling(val tokens: Long, val tokensPerSecond: Long) {
-    /** The ceiling when the store last confirmed it [elapsedMilliseconds] ago. */
+    /** The ceiling when the store last confirmed it [elapsedMilliseconds] ago; in the end only the grant bounds it. */
     public fun after(elapsedMilliseconds: Long): Long {
+        if (elapsedMilliseconds >= RELEASE_MILLISECONDS) return UNBOUNDED
         val outside = (elapsedMilliseconds - GRACE_MILLISECONDS).coerceAtLeast(0)
         return tokens + tokensPerSecond * outside / MILLISECONDS_PER_SECOND
     }
 
     public companion object {
-        /** An instance that lost power is back after about this long, so that the growth seldom counts. */
-        public const val GRACE_MILLISECONDS: Long = 1_500
+        /** Two reports and the time for an answer. */
+        public const val GRACE_MILLISECONDS: Long = 700
+
+        /** An instance that lost power is mostly back before this, so that a longer silence means a lost store. */
+        public const val RELEASE_MILLISECONDS: Long = 1_700
+
+        private const val UNBOUNDED = Long.MAX_VALUE / 2
 
         private const val MILLISECONDS_PER_SECOND = 1_000
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -201,7 +201,7 @@
         const val MAXIMUM_TARGETS = 4
 
         /** A router that just lost the store may use more of its grants after about this long. */
-        const val BUDGET_PATIENCE_MILLISECONDS = 1_500L
+        const val BUDGET_PATIENCE_MILLISECONDS = 2_000L
 
         /** Grants that went elsewhere come back about once a second. */
         const val RETRY_BUDGET_MILLISECONDS = 500L
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -93,7 +93,7 @@
                 }
             } else {
                 account.neededTokens = maxOf(account.neededTokens, tokens)
-                reports.publishSoon()
+                withTimeoutOrNull(CEILING_PAUSE_MILLISECONDS) { reports.publishSoon() }
             }
             if (account.holding.tryReserve(tokens, clock.now())) return true
         }
@@ -102,7 +102,8 @@
     override fun present(): Map<CustomerId, BudgetReport> {
         val now = clock.now()
         return accounts.mapValues { (_, account) ->
-            val ceiling = account.holding.nextCeiling(now, account.neededTokens)
+            val isPlentiful = remainderOf(account).isPlentiful(account.holding.demandPerSecond(now))
+            val ceiling = account.holding.nextCeiling(now, account.neededTokens, isPlentiful)
             account.neededTokens = 0
             BudgetReport(
                 usedTokens = account.holding.usedTokens,
@@ -305,6 +306,9 @@
         /** Other routers give back what they do not need a few times a second. */
         const val SHORT_PAUSE_MILLISECONDS = 120L
 
+        /** While reports get no answer, the ceiling grows with time, so it is looked at this often. */
+        const val CEILING_PAUSE_MILLISECONDS = 50L
+
         /** Pause after the store turned a change away. */
         const val RETRY_PAUSE_MILLISECONDS = 60L
     }
