--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -87,7 +87,10 @@
         while (true) {
             if (account.holding.availableTokens < tokens) {
                 when (refill(account, tokens).await()) {
-                    GrantChange.SHORT -> if (remainderOf(account).tokens < tokens) return false else delay(SHORT_PAUSE_MILLISECONDS)
+                    GrantChange.SHORT -> {
+                        if (uncommittedTokens(account) < tokens) return false
+                        delay(SHORT_PAUSE_MILLISECONDS)
+                    }
                     GrantChange.FAILED -> delay(RETRY_PAUSE_MILLISECONDS)
                     GrantChange.DONE -> Unit
                 }
@@ -136,7 +139,7 @@
             if (closed.isEmpty()) return true
             when (val append = ledger.append(closed)) {
                 is StreamAppend.Appended -> {
-                    log.belief("budget", "Closed the grants of earlier processes.", "customers" to closed.size)
+                    closed.forEach { (customer, allocation) -> logClosed(customer, allocation) }
                     return true
                 }
                 is StreamAppend.Unknown, is StreamAppend.Rejected -> {
@@ -254,6 +257,13 @@
         )
     }
 
+    /** Tokens that no router has promised to a request; the rest of the grants may come back. */
+    private fun uncommittedTokens(account: Account): Long {
+        val prepaid = customerOf(account.id)?.prepaidTokens ?: 0
+        val closed = ledgerOf(account.id).allocationOf(account.id).closedTokens
+        return prepaid - closed - account.holding.committedTokens - reports.committedElsewhere(account.id)
+    }
+
     /** What the customer has left, by the last read of its allocation and the last reports of use. */
     private fun remainderOf(account: Account): BudgetRemainder {
         val prepaid = customerOf(account.id)?.prepaidTokens ?: 0
@@ -264,6 +274,15 @@
         )
     }
 
+    private fun logClosed(customer: CustomerId, allocation: BudgetAllocation): Unit = log.belief(
+        "budget",
+        "Closed the grants of earlier processes.",
+        "customer" to customer.value,
+        "chargedAtMost" to allocation.closedTokens,
+        "chargedAtLeast" to allocation.certainClosedTokens,
+        "allocated" to allocation.allocatedTokens,
+    )
+
     private fun logChange(account: Account, before: Long, after: Long, allocation: BudgetAllocation): Unit = log.belief(
         "budget",
         "A grant changed.",
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
@@ -78,6 +78,11 @@
         if (known.report.incarnation == self.value) 0 else known.report.budgets[customer.value]?.usedTokens ?: 0
     }
 
+    /** Tokens of [customer] that other routers charged or may charge before their next report. */
+    fun committedElsewhere(customer: CustomerId): Long = latest.values.sumOf { known ->
+        if (known.report.incarnation == self.value) 0 else known.report.budgets[customer.value]?.ceilingTokens ?: 0
+    }
+
     /** Tokens of [customer] asked for per second at other routers, as last reported. */
     fun demandElsewhere(customer: CustomerId): Double = latest.values.sumOf { known ->
         val isOther = known.report.incarnation != self.value && !known.report.isLeaving
