Let a ceiling follow the demand in a long silence instead of the whole grant

Cause: with larger grants, which cuts of the store need, a single router's death of two seconds would cost its customers the whole grant. Change: past 1.7 s of silence the ceiling is two large requests plus 1.5 times the demand; grants cover 15 s; a request is refused at once when the store is lost and the grant is short.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -45,7 +45,7 @@
         }.coerceAtLeast(neededTokens + MINIMUM_SLACK_TOKENS)
         return SpendCeiling(
             tokens = maxOf(committedTokens, minOf(grantedTokens, committedTokens + slack)),
-            tokensPerSecond = maxOf((rate * RATE_SHARE).toLong(), MINIMUM_RATE_TOKENS),
+            demandPerSecond = maxOf(rate.toLong(), MINIMUM_RATE_TOKENS),
         )
     }
 
@@ -106,9 +106,6 @@
         /** Lets a customer without recent demand send a short request every few seconds of an outage. */
         const val MINIMUM_RATE_TOKENS = 1_000L
 
-        /** Part of the demand that is served between the grace and the lift; the growth is lost if this process died. */
-        const val RATE_SHARE = 0.5
-
         /** A report takes some milliseconds, so it is sent while part of the slack is left. */
         const val LOW_SHARE = 0.6
     }
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -74,14 +74,14 @@
     }
 
     public companion object {
-        /** The longest cut from the store on the users' days is 12 s, most are under 9 s. */
-        public const val DEFAULT_COVER_MILLISECONDS: Long = 10_000
+        /** The longest cut from the store on the users' days is 12 s. */
+        public const val DEFAULT_COVER_MILLISECONDS: Long = 15_000
 
         /** Arrivals of one customer at one router vary by about a half over some seconds. */
         public const val DEFAULT_HEADROOM: Double = 1.5
 
-        /** A request or two of the largest kind at its mean size. */
-        public const val DEFAULT_MINIMUM_TOKENS: Long = 24_000
+        /** A few requests of the largest kind at their mean size, since a customer's demand at one router is uneven. */
+        public const val DEFAULT_MINIMUM_TOKENS: Long = 50_000
 
         private const val MILLISECONDS_PER_SECOND = 1_000.0
 
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
@@ -6,17 +6,24 @@
  * How far a router may charge a budget before it must tell the store again, as the store last confirmed it. After the
  * router died, no more than this can have been charged, so the rest of its grant is free.
  *
+ * A silence that is short is mostly a death, and a longer one mostly a lost store, so the ceiling hardly grows at first
+ * and follows the demand later.
+ *
  * @property tokens charged and reserved tokens may reach this while the store is in reach
- * @property tokensPerSecond growth of the ceiling while the store is out of reach
+ * @property demandPerSecond tokens that customers asked for per second when the ceiling was set
  */
-public data class SpendCeiling(val tokens: Long, val tokensPerSecond: Long) {
-    /** The ceiling when the store last confirmed it [elapsedMilliseconds] ago; in the end only the grant bounds it. */
-    public fun after(elapsedMilliseconds: Long): Long {
-        if (elapsedMilliseconds >= RELEASE_MILLISECONDS) return UNBOUNDED
-        val outside = (elapsedMilliseconds - GRACE_MILLISECONDS).coerceAtLeast(0)
-        return tokens + tokensPerSecond * outside / MILLISECONDS_PER_SECOND
+public data class SpendCeiling(val tokens: Long, val demandPerSecond: Long) {
+    /** The ceiling when the store last confirmed it [elapsedMilliseconds] ago. */
+    public fun after(elapsedMilliseconds: Long): Long = when {
+        elapsedMilliseconds < GRACE_MILLISECONDS -> tokens
+        elapsedMilliseconds < RELEASE_MILLISECONDS ->
+            tokens + grown(elapsedMilliseconds - GRACE_MILLISECONDS, CAUTIOUS_SHARE)
+        else -> tokens + RELEASED_TOKENS + grown(elapsedMilliseconds, RELEASED_SHARE)
     }
 
+    private fun grown(milliseconds: Long, share: Double): Long =
+        (demandPerSecond * share * milliseconds / MILLISECONDS_PER_SECOND).toLong()
+
     public companion object {
         /** Two reports and the time for an answer. */
         public const val GRACE_MILLISECONDS: Long = 700
@@ -24,8 +31,14 @@
         /** An instance that lost power is mostly back before this, so that a longer silence means a lost store. */
         public const val RELEASE_MILLISECONDS: Long = 1_700
 
-        private const val UNBOUNDED = Long.MAX_VALUE / 2
+        /** Tokens that a longer silence allows at once: two requests of the largest kind at their mean size. */
+        private const val RELEASED_TOKENS = 30_000L
+
+        /** Part of the demand that is served before the release. */
+        private const val CAUTIOUS_SHARE = 0.5
 
+        /** Demand may rise by half while the store is out of reach. */
+        private const val RELEASED_SHARE = 1.5
         private const val MILLISECONDS_PER_SECOND = 1_000
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -91,7 +91,10 @@
                         if (uncommittedTokens(account) < tokens) return false
                         delay(SHORT_PAUSE_MILLISECONDS)
                     }
-                    GrantChange.FAILED -> delay(RETRY_PAUSE_MILLISECONDS)
+                    GrantChange.FAILED -> {
+                        if (reports.isStoreLost()) return false
+                        delay(RETRY_PAUSE_MILLISECONDS)
+                    }
                     GrantChange.DONE -> Unit
                 }
             } else {
@@ -111,8 +114,7 @@
             BudgetReport(
                 usedTokens = account.holding.usedTokens,
                 ceilingTokens = ceiling.tokens,
-                ceilingPerSecond = ceiling.tokensPerSecond,
-                demandPerSecond = account.holding.demandPerSecond(now).toLong(),
+                demandPerSecond = ceiling.demandPerSecond,
             )
         }
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -31,10 +31,9 @@
 internal data class BudgetReport(
     val usedTokens: Long,
     val ceilingTokens: Long,
-    val ceilingPerSecond: Long,
-    val demandPerSecond: Long = 0,
+    val demandPerSecond: Long,
 ) {
-    val ceiling: SpendCeiling get() = SpendCeiling(ceilingTokens, ceilingPerSecond)
+    val ceiling: SpendCeiling get() = SpendCeiling(ceilingTokens, demandPerSecond)
 }
 
 /** A router's word on what an earlier process charged. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
@@ -50,6 +50,7 @@
 
     private val latest = HashMap<InstanceId, Known>()
     private var contactAt = Moment.distantPast
+    private var confirmedAt = Moment.distantPast
     private var epoch = 0L
     private var sequence = 0L
     private var unconfirmed: SentReport? = null
@@ -89,6 +90,9 @@
         if (isOther) known.report.budgets[customer.value]?.demandPerSecond?.toDouble() ?: 0.0 else 0.0
     }
 
+    /** Whether the store confirmed nothing for so long that waiting for it does not help an open request. */
+    fun isStoreLost(): Boolean = clock.now().millisecondsSince(confirmedAt) > LOST_MILLISECONDS
+
     /** Fences off earlier processes, then publishes until it is cancelled. */
     suspend fun run(onEstablished: () -> Unit) {
         while (!establish()) delay(ESTABLISH_PAUSE_MILLISECONDS)
@@ -147,6 +151,7 @@
         when (val append = store.append(partition, listOf(NewRecord(self.instance.value, report.bytes)), condition)) {
             is StreamAppend.Appended -> {
                 unconfirmed = null
+                confirmedAt = report.composedAt
                 budgets.onConfirmed(report.budgets, report.composedAt)
             }
             is StreamAppend.OutOfSequence -> {
@@ -249,6 +254,9 @@
         /** Keeps the appends of a large fleet to about a hundred a second. */
         private const val INTERVAL_PER_ROUTER_MILLISECONDS = 10L
 
+        /** Several reports without an answer. */
+        private const val LOST_MILLISECONDS = 1_200L
+
         /** Pause before fencing is tried again. */
         private const val ESTABLISH_PAUSE_MILLISECONDS = 100L
 
