Charge less for a silence just past the release

Change: past the release the ceiling grows from there on at 1.25 times the demand, with 20,000 tokens at once.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
@@ -18,7 +18,8 @@
         elapsedMilliseconds < GRACE_MILLISECONDS -> tokens
         elapsedMilliseconds < RELEASE_MILLISECONDS ->
             tokens + grown(elapsedMilliseconds - GRACE_MILLISECONDS, CAUTIOUS_SHARE)
-        else -> tokens + RELEASED_TOKENS + grown(elapsedMilliseconds, RELEASED_SHARE)
+        else -> tokens + RELEASED_TOKENS + grown(RELEASE_MILLISECONDS - GRACE_MILLISECONDS, CAUTIOUS_SHARE) +
+            grown(elapsedMilliseconds - RELEASE_MILLISECONDS, RELEASED_SHARE)
     }
 
     private fun grown(milliseconds: Long, share: Double): Long =
@@ -31,14 +32,14 @@
         /** An instance that lost power is mostly back before this, so that a longer silence means a lost store. */
         public const val RELEASE_MILLISECONDS: Long = 1_700
 
-        /** Tokens that a longer silence allows at once: two requests of the largest kind at their mean size. */
-        private const val RELEASED_TOKENS = 30_000L
+        /** Tokens that a longer silence allows at once, for requests that waited for it. */
+        private const val RELEASED_TOKENS = 20_000L
 
         /** Part of the demand that is served before the release. */
         private const val CAUTIOUS_SHARE = 0.5
 
-        /** Demand may rise by half while the store is out of reach. */
-        private const val RELEASED_SHARE = 1.5
+        /** Demand may rise by a quarter while the store is out of reach. */
+        private const val RELEASED_SHARE = 1.25
         private const val MILLISECONDS_PER_SECOND = 1_000
     }
 }
