Charge prompts and events as they are consumed, so that a death loses less

Change: the prompt is charged with the first event and output event by event; ceilings lie 0.3 s of demand above use. Non-idempotent work uses only connections idle for under 250 ms.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -76,10 +76,15 @@
         return true
     }
 
-    /** Ends a reservation of [reserved] tokens of which [used] were consumed. */
-    public fun settle(reserved: Long, used: Long) {
-        reservedTokens -= reserved
-        usedTokens += used.coerceIn(0, reserved)
+    /** Charges [tokens] of a reservation that were consumed. */
+    public fun charge(tokens: Long) {
+        reservedTokens -= tokens
+        usedTokens += tokens
+    }
+
+    /** Gives up [tokens] of a reservation that were not consumed. */
+    public fun release(tokens: Long) {
+        reservedTokens -= tokens
     }
 
     /** Takes over the grant that the store shows for this process. */
@@ -91,8 +96,8 @@
         /** Follows a customer that suddenly sends more within a second or two. */
         const val DEMAND_HALF_LIFE_MILLISECONDS = 3_000.0
 
-        /** Covers the pause between two reports twice; what is left of it is lost with the process. */
-        const val SLACK_SECONDS = 0.4
+        /** Covers the pause between two reports; what is left of it is lost with the process. */
+        const val SLACK_SECONDS = 0.3
 
         /** Lasts until the ceiling is lifted without the store. */
         const val PLENTIFUL_SLACK_SECONDS = 2.5
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
@@ -36,7 +36,7 @@
         private const val RELEASED_TOKENS = 20_000L
 
         /** Part of the demand that is served before the release. */
-        private const val CAUTIOUS_SHARE = 0.5
+        private const val CAUTIOUS_SHARE = 0.25
 
         /** Demand may rise by a quarter while the store is out of reach. */
         private const val RELEASED_SHARE = 1.25
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
@@ -220,8 +220,8 @@
                 continue
             }
             if (!progress.answer.hasBegun) beginEvents(response)
-            progress.answer.write(event.bytes)
             progress.recordEvent(event.id)
+            progress.answer.write(event.bytes)
         }
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
@@ -15,8 +15,12 @@
     /** Whether a target may have begun to run the request. */
     var mayHaveRun = false
 
-    /** Notes an event that was passed on. */
+    /** Charges events to the customer, or null where nothing is charged. */
+    var meter: TokenMeter? = null
+
+    /** Notes an event that is passed on. */
     fun recordEvent(id: Long?) {
+        meter?.recordEvent()
         eventCount++
         if (id != null) lastEventId = id
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -81,14 +81,14 @@
         val reservation = when (val decision = context.budgets.reserve(customer, tokens.worstCase, waitUntil)) {
             BudgetDecision.Exhausted -> return Refusal(ResultCode.BUDGET_EXHAUSTED)
             BudgetDecision.Undivided -> return Refusal(ResultCode.BUDGET_UNDIVIDED, RETRY_BUDGET_MILLISECONDS)
-            is BudgetDecision.Reserved -> decision
+            is BudgetDecision.Reserved -> decision.reservation
         }
+        val meter = TokenMeter(reservation, tokens, tokensPerEvent(work))
+        progress.meter = meter
         try {
             return serveTries(work, request, progress)
         } finally {
-            val output = progress.eventCount * tokensPerEvent(work)
-            val used = if (progress.mayHaveRun) tokens.prompt + minOf(output, tokens.maximumOutput) else 0
-            context.budgets.settle(reservation, used)
+            meter.end(progress.mayHaveRun)
         }
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
@@ -49,7 +49,7 @@
         /** Targets close connections that are idle for longer than some seconds. */
         const val MAXIMUM_IDLE_MILLISECONDS = 3_000L
 
-        /** A target that was replaced or restarted lately may have left a dead connection. */
-        const val MAXIMUM_IDLE_ONCE_MILLISECONDS = 1_000L
+        /** Some targets drop connections after a third of a second without a word. */
+        const val MAXIMUM_IDLE_ONCE_MILLISECONDS = 250L
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -23,8 +23,8 @@
 
 /** Whether a request's worst case could be reserved. */
 internal sealed interface BudgetDecision {
-    /** [tokens] are reserved until [BudgetKeeper.settle]. */
-    data class Reserved(val customer: CustomerId, val tokens: Long) : BudgetDecision
+    /** Tokens are reserved until the end of the [reservation]. */
+    data class Reserved(val reservation: BudgetReservation) : BudgetDecision
 
     /** The store shows that the unspent tokens do not cover the request. */
     data object Exhausted : BudgetDecision
@@ -53,18 +53,18 @@
 
     /** Reserves [tokens] for [customer], and waits for a grant until [until] where this router holds too little. */
     suspend fun reserve(customer: Customer, tokens: Long, until: Moment): BudgetDecision {
-        val prepaid = customer.prepaidTokens ?: return BudgetDecision.Reserved(customer.id, 0)
+        val prepaid = customer.prepaidTokens ?: return BudgetDecision.Reserved(BudgetReservation(null, 0))
         val now = clock.now()
         val account = accounts.getOrPut(customer.id) { Account(customer.id, BudgetHolding(now)) }
         account.holding.recordDemand(tokens, now)
         if (account.holding.tryReserve(tokens, now)) {
             if (policy.isRefillDue(account.holding, remainderOf(account), now)) refill(account, neededTokens = 0)
             if (account.holding.isCeilingLow(now)) reports.wantPublished()
-            return BudgetDecision.Reserved(customer.id, tokens)
+            return BudgetDecision.Reserved(BudgetReservation(account.holding, tokens))
         }
         val wait = until.millisecondsSince(now).coerceAtLeast(1)
         val isReserved = withTimeoutOrNull(wait) { reserveWithMore(account, tokens) } ?: false
-        if (isReserved) return BudgetDecision.Reserved(customer.id, tokens)
+        if (isReserved) return BudgetDecision.Reserved(BudgetReservation(account.holding, tokens))
         val known = reports.usedElsewhere(customer.id) + account.holding.usedTokens +
             ledgerOf(customer.id).allocationOf(customer.id).certainClosedTokens
         val isShort = account.isStoreCurrent && prepaid - known < tokens
@@ -160,11 +160,6 @@
             open.closing(process, if (charges == null) HolderCharge.unknown else charges[customer] ?: HolderCharge.none)
         }
 
-    /** Ends a reservation; [used] tokens were consumed. */
-    fun settle(reservation: BudgetDecision.Reserved, used: Long) {
-        accounts[reservation.customer]?.holding?.settle(reservation.tokens, used)
-    }
-
     /** Gives back what is held without need, and asks for what runs low. */
     fun tend() {
         val now = clock.now()
