Keep ceilings tight for customers with little left, and format

Change: three grades of what a customer has left decide the slack of its ceiling; formatter run over the new modules.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetAllocation.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetAllocation.kt
@@ -23,7 +23,8 @@
     public fun grantOf(holder: Incarnation): Long = grants[holder] ?: 0
 
     /** This allocation with the grant of [holder] set to [tokens]. */
-    public fun withGrant(holder: Incarnation, tokens: Long): BudgetAllocation = copy(grants = grants.put(holder, tokens))
+    public fun withGrant(holder: Incarnation, tokens: Long): BudgetAllocation =
+        copy(grants = grants.put(holder, tokens))
 
     /** This allocation after [holder] ended with the tokens of [charge] charged. */
     public fun closing(holder: Incarnation, charge: HolderCharge): BudgetAllocation = copy(
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -34,18 +34,18 @@
 
     /**
      * The ceiling that the next report should carry. What lies between use and ceiling is lost to the customer if this
-     * process dies, so it is small unless the customer [isPlentiful].
+     * process dies, so the [abundance] of the customer's tokens decides.
      */
-    public fun nextCeiling(now: Moment, neededTokens: Long, isPlentiful: Boolean): SpendCeiling {
+    public fun nextCeiling(now: Moment, neededTokens: Long, abundance: Abundance): SpendCeiling {
         val rate = demandPerSecond(now)
-        val slack = if (isPlentiful) {
-            maxOf((rate * PLENTIFUL_SLACK_SECONDS).toLong(), PLENTIFUL_SLACK_TOKENS)
-        } else {
-            maxOf((rate * SLACK_SECONDS).toLong(), MINIMUM_SLACK_TOKENS)
+        val slack = when (abundance) {
+            Abundance.PLENTIFUL -> maxOf((rate * PLENTIFUL_SLACK_SECONDS).toLong(), PLENTIFUL_SLACK_TOKENS)
+            Abundance.USUAL -> maxOf((rate * SLACK_SECONDS).toLong(), MINIMUM_SLACK_TOKENS)
+            Abundance.SCARCE -> MINIMUM_SLACK_TOKENS
         }.coerceAtLeast(neededTokens + MINIMUM_SLACK_TOKENS)
         return SpendCeiling(
             tokens = maxOf(committedTokens, minOf(grantedTokens, committedTokens + slack)),
-            demandPerSecond = maxOf(rate.toLong(), MINIMUM_RATE_TOKENS),
+            growthPerSecond = if (abundance == Abundance.SCARCE) 0 else maxOf(rate.toLong(), MINIMUM_RATE_TOKENS),
         )
     }
 
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -10,16 +10,28 @@
  * @property demandElsewherePerSecond tokens asked for at other routers
  */
 public data class BudgetRemainder(val tokens: Long, val demandElsewherePerSecond: Double) {
-    /** Whether the tokens last for long at [demandPerSecond] of this router and the demand elsewhere. */
-    public fun isPlentiful(demandPerSecond: Double): Boolean =
-        tokens > (demandPerSecond + demandElsewherePerSecond) * PLENTIFUL_SECONDS
+    /** How long the tokens last at [demandPerSecond] of this router and the demand elsewhere. */
+    public fun abundance(demandPerSecond: Double): Abundance {
+        val seconds = tokens / (demandPerSecond + demandElsewherePerSecond).coerceAtLeast(1.0)
+        return when {
+            seconds > PLENTIFUL_SECONDS -> Abundance.PLENTIFUL
+            seconds < SCARCE_SECONDS -> Abundance.SCARCE
+            else -> Abundance.USUAL
+        }
+    }
 
     private companion object {
         /** A customer with this much left can lose a second of demand without noticing. */
         const val PLENTIFUL_SECONDS = 25.0
+
+        /** A customer with this little left is served more slowly rather than charged too much. */
+        const val SCARCE_SECONDS = 4.0
     }
 }
 
+/** How a customer's remaining tokens compare with its demand. */
+public enum class Abundance { PLENTIFUL, USUAL, SCARCE }
+
 /**
  * How much of a budget a router should hold.
  *
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
@@ -10,20 +10,22 @@
  * and follows the demand later.
  *
  * @property tokens charged and reserved tokens may reach this while the store is in reach
- * @property demandPerSecond tokens that customers asked for per second when the ceiling was set
+ * @property growthPerSecond tokens asked for per second when the ceiling was set, 0 where the ceiling must not grow
  */
-public data class SpendCeiling(val tokens: Long, val demandPerSecond: Long) {
+public data class SpendCeiling(val tokens: Long, val growthPerSecond: Long) {
     /** The ceiling when the store last confirmed it [elapsedMilliseconds] ago. */
     public fun after(elapsedMilliseconds: Long): Long = when {
         elapsedMilliseconds < GRACE_MILLISECONDS -> tokens
+
         elapsedMilliseconds < RELEASE_MILLISECONDS ->
             tokens + grown(elapsedMilliseconds - GRACE_MILLISECONDS, CAUTIOUS_SHARE)
+
         else -> tokens + RELEASED_TOKENS + grown(RELEASE_MILLISECONDS - GRACE_MILLISECONDS, CAUTIOUS_SHARE) +
             grown(elapsedMilliseconds - RELEASE_MILLISECONDS, RELEASED_SHARE)
     }
 
     private fun grown(milliseconds: Long, share: Double): Long =
-        (demandPerSecond * share * milliseconds / MILLISECONDS_PER_SECOND).toLong()
+        (growthPerSecond * share * milliseconds / MILLISECONDS_PER_SECOND).toLong()
 
     public companion object {
         /** Two reports and the time for an answer. */
--- a/core/src/main/kotlin/org/heatherwind/core/fleet/RoutingPlan.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/fleet/RoutingPlan.kt
@@ -57,11 +57,7 @@
  * @property maximumConnections connections that one target accepts from all routers together
  * @property engine the engine's figures, or null for a plain service
  */
-public data class ServiceProfile(
-    val name: ServiceId,
-    val maximumConnections: Int,
-    val engine: EngineProfile? = null,
-)
+public data class ServiceProfile(val name: ServiceId, val maximumConnections: Int, val engine: EngineProfile? = null)
 
 /**
  * Figures of a model engine.
--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -91,8 +91,7 @@
     }
 
     /** The last part that other requests share; the request's own last part is never shared. */
-    private fun affinityKeyOf(tokens: TokenDemand): String? =
-        tokens.parts.getOrNull(tokens.parts.size - 2)?.key
+    private fun affinityKeyOf(tokens: TokenDemand): String? = tokens.parts.getOrNull(tokens.parts.size - 2)?.key
 
     /** Prompt tokens that an engine of the users reads in a millisecond beside its other work; the sheets say 62 to 101. */
     private const val READ_TOKENS_PER_MILLISECOND = 70.0
--- a/core/src/main/kotlin/org/heatherwind/core/placement/PrefixMemory.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PrefixMemory.kt
@@ -8,7 +8,8 @@
     private var keptTokens = 0L
 
     /** Tokens of the leading [parts] that are probably kept; a part counts only if all before it are kept. */
-    public fun keptTokens(parts: List<PromptPart>): Long = parts.takeWhile { kept.containsKey(it.key) }.sumOf { it.tokens }
+    public fun keptTokens(parts: List<PromptPart>): Long =
+        parts.takeWhile { kept.containsKey(it.key) }.sumOf { it.tokens }
 
     /** Notes that the target reads [parts]. */
     public fun remember(parts: List<PromptPart>) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -103,6 +103,7 @@
             ),
         ),
     )
+
     @Volatile
     private var isDraining = false
 
@@ -152,11 +153,7 @@
     /** Waits for the end of a drain. */
     public suspend fun awaitStopped(): Unit = stopped.await()
 
-    private fun follow(
-        pace: FollowPace,
-        partition: StreamPartition,
-        subscriber: StreamSubscriber,
-    ) {
+    private fun follow(pace: FollowPace, partition: StreamPartition, subscriber: StreamSubscriber) {
         val follower = StreamFollower(store, partition, pace, clock, log, subscriber)
         scope.launch { follower.run() }
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/RequestScreen.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/RequestScreen.kt
@@ -18,12 +18,21 @@
         val encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING)
         return when {
             lengths.size > 1 || (lengths.isNotEmpty() && encodings.isNotEmpty()) -> HeadRejection.AMBIGUOUS_LENGTH
-            lengths.any { length -> length.isEmpty() || !length.all { it in '0'..'9' } } -> HeadRejection.AMBIGUOUS_LENGTH
+
+            lengths.any { length ->
+                length.isEmpty() || !length.all { it in '0'..'9' }
+            } -> HeadRejection.AMBIGUOUS_LENGTH
+
             encodings.size > 1 -> HeadRejection.AMBIGUOUS_LENGTH
+
             encodings.any { !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(it) } -> HeadRejection.AMBIGUOUS_LENGTH
+
             encodings.isNotEmpty() && head.protocolVersion() != HttpVersion.HTTP_1_1 -> HeadRejection.AMBIGUOUS_LENGTH
+
             headers.getAll(HttpHeaderNames.HOST).size != 1 -> HeadRejection.MALFORMED
+
             !head.uri().startsWith("/") -> HeadRejection.MALFORMED
+
             else -> null
         }
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/HttpCaller.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/HttpCaller.kt
@@ -59,11 +59,14 @@
         while (true) {
             when (val part = connection.receive()) {
                 is AnswerPart.Head -> status = part.response.status().code()
+
                 is AnswerPart.Body -> {
                     part.content.readBytes(body, part.content.readableBytes())
                     part.content.release()
                 }
+
                 is AnswerPart.End -> return CallOutcome.Answered(status, body.toByteArray())
+
                 is AnswerPart.Broken -> return CallOutcome.NoAnswer(part.reason)
             }
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
@@ -79,13 +79,18 @@
         val now = clock.now()
         when (result) {
             is AttemptResult.Delivered -> target.recordSuccess(now)
+
             is AttemptResult.Failed -> target.recordErrorAnswer(now)
+
             is AttemptResult.Broken -> target.recordBroken(now)
+
             AttemptResult.Misdirected -> {
                 target.recordReplaced()
                 client.forget(target)
             }
+
             is AttemptResult.NotRun -> target.recordShed(now)
+
             is AttemptResult.Unsent -> Unit
         }
     }
@@ -146,9 +151,13 @@
         while (true) {
             when (val part = next(connection, hasBegun = true)) {
                 null -> return AttemptResult.Broken("no progress within an error answer of ${response.status()}")
+
                 is AnswerPart.Broken -> return AttemptResult.Broken(part.reason)
+
                 is AnswerPart.Head -> return AttemptResult.Broken("a second answer within the first")
+
                 is AnswerPart.End -> return result(body.toByteArray())
+
                 is AnswerPart.Body -> {
                     part.content.readBytes(body, part.content.readableBytes())
                     part.content.release()
@@ -164,12 +173,16 @@
         while (true) {
             when (val part = next(connection, hasBegun = true)) {
                 null -> return AttemptResult.Broken("no progress within the body")
+
                 is AnswerPart.Broken -> return AttemptResult.Broken(part.reason)
+
                 is AnswerPart.Head -> return AttemptResult.Broken("a second answer within the first")
+
                 is AnswerPart.End -> {
                     finishBody(status, response, body)
                     return AttemptResult.Delivered(status)
                 }
+
                 is AnswerPart.Body -> if (progress.answer.hasBegun) {
                     progress.answer.write(part.content)
                 } else {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -52,6 +52,7 @@
                 end(id, NO_ROUTE, admitted.value.code, "path" to request.path)
                 refusals.write(answer, id, admitted.value)
             }
+
             is Either.Right -> serveAdmitted(admitted.value, request, answer)
         }
     }
@@ -97,7 +98,8 @@
 
     /** Tries targets until one answers. Answers the refusal that ends the request otherwise. */
     private suspend fun serveTries(work: WorkRequest, request: ReceivedRequest, progress: DeliveryProgress): Refusal? {
-        val service = DestinationChoice.choose(work) ?: return Refusal(ResultCode.NO_TARGET_FREE, RETRY_TARGET_MILLISECONDS)
+        val service =
+            DestinationChoice.choose(work) ?: return Refusal(ResultCode.NO_TARGET_FREE, RETRY_TARGET_MILLISECONDS)
         val tried = HashSet<TargetId>()
         var sends = 0
         var arrivals = 0
@@ -121,13 +123,17 @@
             if (result !is AttemptResult.Unsent) arrivals++
             when (result) {
                 is AttemptResult.Delivered -> return null
+
                 is AttemptResult.Unsent -> Unit
+
                 AttemptResult.Misdirected -> progress.mayHaveRun = ranBefore
+
                 is AttemptResult.NotRun -> {
                     sends++
                     progress.mayHaveRun = ranBefore
                     if (!ranBefore) lastRefusal = Refusal(ResultCode.TARGET_REFUSED, RETRY_TARGET_MILLISECONDS)
                 }
+
                 is AttemptResult.Failed -> {
                     sends++
                     lastRefusal = Refusal(ResultCode.TARGET_FAILED)
@@ -137,6 +143,7 @@
                         return null
                     }
                 }
+
                 is AttemptResult.Broken -> {
                     sends++
                     lastRefusal = Refusal(
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/SilencePolicy.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/SilencePolicy.kt
@@ -10,8 +10,10 @@
         val pause = work.route.pauseObjectiveMilliseconds
         return when {
             hasBegun && pause != null -> maxOf(pause * PAUSE_FACTOR, MINIMUM_MILLISECONDS)
+
             work.tokens != null && progress.eventCount == 0L ->
                 work.route.latencyObjectiveMilliseconds * FIRST_EVENT_FACTOR + MINIMUM_MILLISECONDS
+
             else -> work.route.latencyObjectiveMilliseconds + PLAIN_GRACE_MILLISECONDS
         }
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -91,10 +91,12 @@
                         if (uncommittedTokens(account) < tokens) return false
                         delay(SHORT_PAUSE_MILLISECONDS)
                     }
+
                     GrantChange.FAILED -> {
                         if (reports.isStoreLost()) return false
                         delay(RETRY_PAUSE_MILLISECONDS)
                     }
+
                     GrantChange.DONE -> Unit
                 }
             } else {
@@ -108,13 +110,15 @@
     override fun present(): Map<CustomerId, BudgetReport> {
         val now = clock.now()
         return accounts.mapValues { (_, account) ->
-            val isPlentiful = remainderOf(account).isPlentiful(account.holding.demandPerSecond(now))
-            val ceiling = account.holding.nextCeiling(now, account.neededTokens, isPlentiful)
+            val demand = account.holding.demandPerSecond(now)
+            val abundance = remainderOf(account).abundance(demand)
+            val ceiling = account.holding.nextCeiling(now, account.neededTokens, abundance)
             account.neededTokens = 0
             BudgetReport(
                 usedTokens = account.holding.usedTokens,
                 ceilingTokens = ceiling.tokens,
-                demandPerSecond = ceiling.demandPerSecond,
+                growthPerSecond = ceiling.growthPerSecond,
+                demandPerSecond = demand.toLong(),
             )
         }
     }
@@ -144,10 +148,12 @@
                     closed.forEach { (customer, allocation) -> logClosed(customer, allocation) }
                     return true
                 }
+
                 is StreamAppend.Unknown, is StreamAppend.Rejected -> {
                     log.belief("budget", "Closing earlier grants was not confirmed.", "outcome" to append)
                     return false
                 }
+
                 StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(conflictPause())
             }
         }
@@ -222,8 +228,11 @@
                     logChange(account, before, after, changed)
                     return GrantChange.DONE
                 }
+
                 StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(conflictPause())
+
                 is StreamAppend.Rejected -> return unconfirmed(account, append)
+
                 is StreamAppend.Unknown -> {
                     account.certainTokens = minOf(account.certainTokens, before, after)
                     account.holding.setGranted(minOf(before, account.certainTokens))
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -42,10 +42,12 @@
                 nextOffset = read.nextOffset
                 isCurrent = true
             }
+
             StreamRead.Expired -> {
                 nextOffset = null
                 return refresh()
             }
+
             is StreamRead.Unavailable -> isCurrent = false
         }
         return isCurrent
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PlanSubscriber.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PlanSubscriber.kt
@@ -26,8 +26,14 @@
         val value = record.value ?: return
         when (val read = documents.readPlan(value)) {
             is Either.Left -> log.belief("plan", "Ignored an unreadable routing plan.", "reason" to read.value)
+
             is Either.Right -> if (state.adoptPlan(read.value)) {
-                log.belief("plan", "Adopted a routing plan.", "version" to read.value.version, "offset" to record.offset)
+                log.belief(
+                    "plan",
+                    "Adopted a routing plan.",
+                    "version" to read.value.version,
+                    "offset" to record.offset,
+                )
                 onPlan()
             }
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -31,9 +31,10 @@
 internal data class BudgetReport(
     val usedTokens: Long,
     val ceilingTokens: Long,
+    val growthPerSecond: Long,
     val demandPerSecond: Long,
 ) {
-    val ceiling: SpendCeiling get() = SpendCeiling(ceilingTokens, demandPerSecond)
+    val ceiling: SpendCeiling get() = SpendCeiling(ceilingTokens, growthPerSecond)
 }
 
 /** A router's word on what an earlier process charged. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
@@ -138,11 +138,16 @@
             epochMilliseconds = timeOfDay().epochMilliseconds,
             budgets = reported.mapKeys { it.key.value },
             predecessors = predecessors.entries.associate { (process, charges) ->
-                process.value to charges.entries.associate { it.key.value to ChargeReport(it.value.atLeast, it.value.atMost) }
+                process.value to
+                    charges.entries.associate { it.key.value to ChargeReport(it.value.atLeast, it.value.atMost) }
             },
             isLeaving = isLeaving(),
         )
-        return SentReport(Json.encodeToString(RouterReport.serializer(), report).encodeToByteArray(), reported, clock.now())
+        return SentReport(
+            Json.encodeToString(RouterReport.serializer(), report).encodeToByteArray(),
+            reported,
+            clock.now(),
+        )
     }
 
     private suspend fun send() {
@@ -154,16 +159,24 @@
                 confirmedAt = report.composedAt
                 budgets.onConfirmed(report.budgets, report.composedAt)
             }
+
             is StreamAppend.OutOfSequence -> {
-                log.belief("reports", "A report was out of sequence.", "sent" to sequence, "expected" to append.expected)
+                log.belief(
+                    "reports",
+                    "A report was out of sequence.",
+                    "sent" to sequence,
+                    "expected" to append.expected,
+                )
                 sequence = append.expected - 1
                 unconfirmed = null
             }
+
             StreamAppend.Conflict -> {
                 log.belief("reports", "Reports of this process are fenced off.", "epoch" to epoch)
                 unconfirmed = null
                 establish()
             }
+
             is StreamAppend.Rejected, is StreamAppend.Unknown ->
                 log.belief("reports", "A report was not confirmed.", "sequence" to sequence, "outcome" to append)
         }
@@ -235,11 +248,7 @@
 
     private class Known(val report: RouterReport, val seenAt: Moment)
 
-    private class SentReport(
-        val bytes: ByteArray,
-        val budgets: Map<CustomerId, BudgetReport>,
-        val composedAt: Moment,
-    )
+    private class SentReport(val bytes: ByteArray, val budgets: Map<CustomerId, BudgetReport>, val composedAt: Moment)
 
     companion object {
         /** Where reports lie. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
@@ -52,16 +52,26 @@
     /** Reads once. */
     suspend fun step() {
         val from = nextOffset
-        when (val read = if (from == null) store.newest(partition) else store.read(partition, from, pace.waitMilliseconds)) {
+        when (
+            val read = if (from ==
+                null
+            ) {
+                store.newest(partition)
+            } else {
+                store.read(partition, from, pace.waitMilliseconds)
+            }
+        ) {
             is StreamRead.Records -> {
                 if (from == null) subscriber.onSnapshot(read.records) else subscriber.onRecords(read.records)
                 nextOffset = read.nextOffset
                 noteRegained()
             }
+
             StreamRead.Expired -> {
                 log.belief("stream", "Records of $partition expired before they were read; reading the newest ones.")
                 nextOffset = null
             }
+
             is StreamRead.Unavailable -> noteLost(read.reason)
         }
     }
@@ -71,7 +81,11 @@
         val lost = lostAt
         lostAt = null
         if (lost != null) {
-            log.dependency("store", "Reading $partition again.", "outOfReachMilliseconds" to now.millisecondsSince(lost))
+            log.dependency(
+                "store",
+                "Reading $partition again.",
+                "outOfReachMilliseconds" to now.millisecondsSince(lost),
+            )
         }
         subscriber.onCurrent(now, isRegained = lost != null)
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetSubscriber.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetSubscriber.kt
@@ -57,6 +57,7 @@
                 log.belief("targets", "Ignored an entry.", "target" to record.key, "reason" to read.value)
                 null
             }
+
             is Either.Right -> read.value
         }
     }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
@@ -33,7 +33,13 @@
  */
 @OptIn(ExperimentalCoroutinesApi::class)
 class BudgetHistoryTest {
-    private class Case(val name: String, val faultShare: Double, val isCut: Boolean, val kills: Int, val leastServed: Double)
+    private class Case(
+        val name: String,
+        val faultShare: Double,
+        val isCut: Boolean,
+        val kills: Int,
+        val leastServed: Double,
+    )
 
     private val cases = listOf(
         Case("no trouble", faultShare = 0.0, isCut = false, kills = 0, leastServed = 0.97),
@@ -121,7 +127,8 @@
             val own = MemoryRecordStore(records, random, test.backgroundScope, faultShare)
             own.isCut = isCut
             val log = DecisionLog(clock, GatewayMetrics())
-            val reports = RouterReports(self, own, clock, log, startedAt, { Timestamp(EPOCH + test.currentTime) }, { false })
+            val reports =
+                RouterReports(self, own, clock, log, startedAt, { Timestamp(EPOCH + test.currentTime) }, { false })
             val budgets = BudgetKeeper(
                 self = self,
                 store = own,
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
@@ -23,6 +23,7 @@
         val kept = of(partition)
         when (condition) {
             is AppendCondition.EndsAt -> if (kept.size.toLong() != condition.offset) return StreamAppend.Conflict
+
             is AppendCondition.NextOf -> {
                 val producer = producers.getOrPut(partition to condition.producer) { Producer() }
                 if (condition.epoch < producer.epoch) return StreamAppend.Conflict
@@ -71,7 +72,10 @@
         if (isCut || random.nextDouble() < faultShare) return unavailable()
         val kept = records.of(partition)
         val latest = LinkedHashMap<String, KeyedRecord>()
-        kept.forEachIndexed { offset, record -> latest[record.key] = KeyedRecord(offset.toLong(), record.key, record.value) }
+        kept.forEachIndexed { offset, record ->
+            latest[record.key] =
+                KeyedRecord(offset.toLong(), record.key, record.value)
+        }
         return StreamRead.Records(latest.values.toList(), kept.size.toLong())
     }
 
@@ -88,10 +92,12 @@
         val chance = random.nextDouble()
         return when {
             chance < faultShare / 3 -> StreamAppend.Rejected("busy")
+
             chance < faultShare * 2 / 3 -> {
                 this.records.append(partition, records, condition)
                 StreamAppend.Unknown("the answer was lost")
             }
+
             chance < faultShare -> {
                 scope.launch {
                     delay(random.nextLong(MAXIMUM_LATENESS_MILLISECONDS))
@@ -99,6 +105,7 @@
                 }
                 StreamAppend.Unknown("done later")
             }
+
             else -> this.records.append(partition, records, condition)
         }
     }
--- a/operator/src/main/kotlin/org/heatherwind/operator/client/CallerClient.kt
+++ b/operator/src/main/kotlin/org/heatherwind/operator/client/CallerClient.kt
@@ -23,8 +23,8 @@
 import kotlinx.serialization.json.longOrNull
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
-import org.heatherwind.core.result.ResultCode
 import org.heatherwind.clients.HttpClients
+import org.heatherwind.core.result.ResultCode
 import java.io.IOException
 
 /** What a caller got. */
--- a/operator/src/main/kotlin/org/heatherwind/operator/demonstration/LocalFleet.kt
+++ b/operator/src/main/kotlin/org/heatherwind/operator/demonstration/LocalFleet.kt
@@ -2,10 +2,10 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
+import org.heatherwind.clients.instances.ListedInstance
 import org.heatherwind.core.identity.DataCentreId
 import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.operator.client.OperatorClient
-import org.heatherwind.clients.instances.ListedInstance
 import org.heatherwind.protocol.document.ConfigurationDocument
 import org.heatherwind.protocol.operations.BudgetMessage
 import org.heatherwind.protocol.operations.PublishMessage
--- a/operator/src/test/kotlin/org/heatherwind/operator/demonstration/BadInputTest.kt
+++ b/operator/src/test/kotlin/org/heatherwind/operator/demonstration/BadInputTest.kt
@@ -4,10 +4,10 @@
 import io.ktor.client.request.post
 import io.ktor.client.request.setBody
 import kotlinx.coroutines.runBlocking
+import org.heatherwind.clients.HttpClients
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.operator.client.CallerClient
 import org.heatherwind.operator.client.CallerResult
-import org.heatherwind.clients.HttpClients
 import org.heatherwind.standins.targets.EngineBehaviour
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/router/src/main/kotlin/org/heatherwind/router/configuration/ConfigurationKeeper.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/configuration/ConfigurationKeeper.kt
@@ -4,14 +4,14 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
+import org.heatherwind.clients.log.LogEntry
+import org.heatherwind.clients.log.LogFailure
+import org.heatherwind.clients.log.LogService
 import org.heatherwind.core.configuration.ConfigurationCopied
 import org.heatherwind.core.configuration.ConfigurationPublished
 import org.heatherwind.core.configuration.ConfigurationState
 import org.heatherwind.core.configuration.ConfigurationVersion
 import org.heatherwind.core.configuration.PublicationResult
-import org.heatherwind.clients.log.LogEntry
-import org.heatherwind.clients.log.LogFailure
-import org.heatherwind.clients.log.LogService
 import org.heatherwind.protocol.record.RecordCodec
 import org.heatherwind.router.shard.ShardStreams
 import java.util.concurrent.ConcurrentHashMap
--- a/router/src/main/kotlin/org/heatherwind/router/peer/AbandonedReservations.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/AbandonedReservations.kt
@@ -3,8 +3,8 @@
 import io.grpc.StatusException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
-import org.heatherwind.core.home.HomeEvent
 import org.heatherwind.clients.instances.ListedInstance
+import org.heatherwind.core.home.HomeEvent
 import org.heatherwind.router.shard.ShardRunners
 import java.util.concurrent.TimeUnit
 
--- a/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/HomeClient.kt
@@ -3,6 +3,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.grpc.Status
 import io.grpc.StatusException
+import org.heatherwind.clients.instances.ListedInstance
 import org.heatherwind.core.home.AttemptEnd
 import org.heatherwind.core.home.HomeEvent
 import org.heatherwind.core.home.ReserveAnswer
@@ -13,7 +14,6 @@
 import org.heatherwind.core.ledger.SettlementOutcome
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.routing.Rendezvous
-import org.heatherwind.clients.instances.ListedInstance
 import org.heatherwind.protocol.peer.HomeGrpcKt
 import org.heatherwind.router.shard.ShardRunners
 import java.util.concurrent.TimeUnit
--- a/router/src/main/kotlin/org/heatherwind/router/peer/HomeService.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/HomeService.kt
@@ -2,8 +2,8 @@
 
 import arrow.core.Either
 import com.google.protobuf.ByteString
-import org.heatherwind.core.ledger.toSnapshot
 import org.heatherwind.clients.log.LogService
+import org.heatherwind.core.ledger.toSnapshot
 import org.heatherwind.protocol.peer.ExchangeMessage
 import org.heatherwind.protocol.peer.FetchLedgerReply
 import org.heatherwind.protocol.peer.FetchLedgerRequest
--- a/router/src/main/kotlin/org/heatherwind/router/peer/Membership.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/peer/Membership.kt
@@ -3,12 +3,12 @@
 import arrow.core.Either
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
-import org.heatherwind.core.identity.DataCentreId
-import org.heatherwind.core.identity.InstanceId
-import org.heatherwind.core.routing.Rendezvous
 import org.heatherwind.clients.instances.InstanceCondition
 import org.heatherwind.clients.instances.InstanceList
 import org.heatherwind.clients.instances.ListedInstance
+import org.heatherwind.core.identity.DataCentreId
+import org.heatherwind.core.identity.InstanceId
+import org.heatherwind.core.routing.Rendezvous
 
 private val logger = KotlinLogging.logger("membership")
 
--- a/router/src/main/kotlin/org/heatherwind/router/shard/ShardAppender.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardAppender.kt
@@ -4,10 +4,10 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import org.heatherwind.clients.log.LogService
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.ledger.LedgerBatch
 import org.heatherwind.core.ledger.LedgerRecord
-import org.heatherwind.clients.log.LogService
 import org.heatherwind.protocol.record.RecordCodec
 import java.util.concurrent.atomic.AtomicInteger
 
--- a/router/src/main/kotlin/org/heatherwind/router/shard/ShardReader.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardReader.kt
@@ -3,14 +3,14 @@
 import arrow.core.Either
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
-import org.heatherwind.core.ledger.LedgerBatch
-import org.heatherwind.core.ledger.LedgerSnapshot
-import org.heatherwind.core.ledger.LedgerState
-import org.heatherwind.core.ledger.SnapshotTaken
 import org.heatherwind.clients.log.LogEntry
 import org.heatherwind.clients.log.LogFailure
 import org.heatherwind.clients.log.LogPage
 import org.heatherwind.clients.log.LogService
+import org.heatherwind.core.ledger.LedgerBatch
+import org.heatherwind.core.ledger.LedgerSnapshot
+import org.heatherwind.core.ledger.LedgerState
+import org.heatherwind.core.ledger.SnapshotTaken
 import org.heatherwind.protocol.record.RecordCodec
 
 private val logger = KotlinLogging.logger("reader")
--- a/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
+++ b/router/src/main/kotlin/org/heatherwind/router/shard/ShardRunner.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.heatherwind.clients.log.LogService
 import org.heatherwind.core.home.Home
 import org.heatherwind.core.home.HomeEffect
 import org.heatherwind.core.home.HomeEvent
@@ -21,7 +22,6 @@
 import org.heatherwind.core.ledger.SnapshotTaken
 import org.heatherwind.core.ledger.toSnapshot
 import org.heatherwind.core.result.ResultCode
-import org.heatherwind.clients.log.LogService
 
 private val logger = KotlinLogging.logger("shard")
 
--- a/standins/src/main/kotlin/org/heatherwind/standins/instances/InstanceRoutes.kt
+++ b/standins/src/main/kotlin/org/heatherwind/standins/instances/InstanceRoutes.kt
@@ -11,8 +11,8 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.post
 import kotlinx.serialization.json.Json
-import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.clients.instances.ListedInstance
+import org.heatherwind.core.identity.InstanceId
 
 /** Serves [instances] over HTTP, with calls by which tests and demonstrations change it. */
 public fun Route.instanceRoutes(instances: MemoryInstanceList) {
--- a/standins/src/main/kotlin/org/heatherwind/standins/instances/MemoryInstanceList.kt
+++ b/standins/src/main/kotlin/org/heatherwind/standins/instances/MemoryInstanceList.kt
@@ -2,12 +2,12 @@
 
 import arrow.core.Either
 import arrow.core.right
-import org.heatherwind.core.identity.Clock
-import org.heatherwind.core.identity.InstanceId
-import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.clients.instances.InstanceList
 import org.heatherwind.clients.instances.InstanceListFailure
 import org.heatherwind.clients.instances.ListedInstance
+import org.heatherwind.core.identity.Clock
+import org.heatherwind.core.identity.InstanceId
+import org.heatherwind.core.identity.Timestamp
 import java.util.concurrent.ConcurrentLinkedDeque
 
 /** An instance list in memory that shows each change [lagMilliseconds] late. */
