Let routers lend each other tokens while the store is lost, and split the tries and the budget keeper

Ruled out: larger holdings everywhere, which a single death then costs; talk through the store, which is what is lost.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -7,7 +7,7 @@
  * What this router holds of one customer's budget. A request reserves its worst case before it is sent, and is charged
  * what it used. It is never started on tokens that were not granted.
  */
-public class BudgetHolding(startedAt: Moment) {
+public class BudgetHolding(startedAt: Moment) : TokenSource {
     /** Tokens granted since the start of this process, by the store. */
     public var grantedTokens: Long = 0
         private set
@@ -76,14 +76,24 @@
         return true
     }
 
-    /** Charges [tokens] of a reservation that were consumed. */
-    public fun charge(tokens: Long) {
+    /**
+     * Charges up to [wanted] tokens that are lent to another router at [now], and answers how many: none where fewer
+     * than [needed] can be spared.
+     */
+    public fun lend(needed: Long, wanted: Long, now: Moment): Long {
+        val spare = reservableTokens(now) / LENT_DIVISOR
+        if (spare < needed) return 0
+        val lent = minOf(spare, wanted)
+        usedTokens += lent
+        return lent
+    }
+
+    override fun charge(tokens: Long) {
         reservedTokens -= tokens
         usedTokens += tokens
     }
 
-    /** Gives up [tokens] of a reservation that were not consumed. */
-    public fun release(tokens: Long) {
+    override fun release(tokens: Long) {
         reservedTokens -= tokens
     }
 
@@ -96,6 +106,9 @@
         /** Follows a customer that suddenly sends more within a second or two. */
         const val DEMAND_HALF_LIFE_MILLISECONDS = 3_000.0
 
+        /** Half of what a router could use itself may go to another. */
+        const val LENT_DIVISOR = 2
+
         /** Covers the pause between two reports; what is left of it is lost with the process. */
         const val SLACK_SECONDS = 0.3
 
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -62,8 +62,8 @@
         holding.availableTokens > desiredTokens(holding, remainder, now) * RETURN_SHARE
 
     /**
-     * The grant that [holder] should have in all, given the store's [allocation] and [prepaidTokens]. It never raises the
-     * sum above [prepaidTokens], and leaves the other [holders] their part of what is free, except that [neededTokens]
+     * The grant that [holder] should have in all, given the store's [allocation] and [prepaidTokens]. It never raises
+     * the sum above [prepaidTokens], and leaves the other [holders] their part of what is free, except that [neededTokens]
      * of an open request go first.
      */
     public fun grantFor(
--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -93,7 +93,7 @@
     /** The last part that other requests share; the request's own last part is never shared. */
     private fun affinityKeyOf(tokens: TokenDemand): String? = tokens.parts.getOrNull(tokens.parts.size - 2)?.key
 
-    /** Prompt tokens that an engine of the users reads in a millisecond beside its other work; the sheets say 62 to 101. */
+    /** Prompt tokens that an engine of the users reads in a millisecond beside its other work; sheets: 62 to 101. */
     private const val READ_TOKENS_PER_MILLISECOND = 70.0
 
     /** A running request adds to the time of each step. */
@@ -102,7 +102,7 @@
     private const val FAILURE_MILLISECONDS = 80.0
     private const val MISFIT_MILLISECONDS = 1_000.0
 
-    /** A second read costs its target time and displaces what it keeps; it pays when the wait would miss most objectives. */
+    /** A second read costs its target time and displaces what it keeps; it pays when the wait misses the objective. */
     private const val REREAD_MILLISECONDS_PER_TOKEN = 0.06
 
     /** A plain call that is late by this much counts like a full target. */
--- a/core/src/main/kotlin/org/heatherwind/core/placement/PrefixMemory.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PrefixMemory.kt
@@ -2,7 +2,7 @@
 
 import org.heatherwind.core.work.PromptPart
 
-/** Which prompt parts a target probably keeps, from what this router sent there. The least recently used yield first. */
+/** Which prompt parts a target probably keeps, from what this router sent there. The least recently used go first. */
 public class PrefixMemory(private val capacityTokens: Long) {
     private val kept = LinkedHashMap<String, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true)
     private var keptTokens = 0L
--- a/core/src/main/kotlin/org/heatherwind/core/retry/RetryAllowance.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/retry/RetryAllowance.kt
@@ -5,8 +5,8 @@
 /**
  * This router's part of the fleet's allowance for further sends of a request to a service.
  *
- * Each first send earns [ratio] of a further send; [base] further sends are free in each [windowMilliseconds]. Sends are
- * counted in slots of a tenth of the window, so that every span of that length keeps the bound.
+ * Each first send earns [ratio] of a further send; [base] further sends are free in each [windowMilliseconds]. Sends
+ * are counted in slots of a tenth of the window, so that every span of that length keeps the bound.
  */
 public class RetryAllowance(
     private val ratio: Double,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -21,17 +21,22 @@
 import org.heatherwind.gateway.caller.BodyMemory
 import org.heatherwind.gateway.caller.CallerContext
 import org.heatherwind.gateway.caller.CallerListener
+import org.heatherwind.gateway.http.HttpCaller
 import org.heatherwind.gateway.http.StatusListener
 import org.heatherwind.gateway.http.StatusText
+import org.heatherwind.gateway.peer.LoanClient
+import org.heatherwind.gateway.peer.LoanServer
 import org.heatherwind.gateway.protocol.CallerProtocol
 import org.heatherwind.gateway.serve.RequestServer
 import org.heatherwind.gateway.serve.ServeContext
 import org.heatherwind.gateway.serve.TargetClient
 import org.heatherwind.gateway.state.BudgetKeeper
+import org.heatherwind.gateway.state.BudgetLedgers
 import org.heatherwind.gateway.state.FleetDocuments
 import org.heatherwind.gateway.state.FleetState
 import org.heatherwind.gateway.state.FollowPace
 import org.heatherwind.gateway.state.PlanSubscriber
+import org.heatherwind.gateway.state.PredecessorGrants
 import org.heatherwind.gateway.state.RetryKeeper
 import org.heatherwind.gateway.state.RouterReports
 import org.heatherwind.gateway.state.StreamFollower
@@ -76,19 +81,21 @@
         startedAt = startedAt,
         timeOfDay = Clock.system::now,
         isLeaving = { isDraining },
+        peerAddress = settings.peerAddress,
     )
     private val retries = RetryKeeper { newRetryAllowance() }
     private val bodyMemory = BodyMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
+    private val ledgers = BudgetLedgers(store, settings.budgetPartitions)
     private val budgets = BudgetKeeper(
         self = self,
-        store = store,
-        partitions = settings.budgetPartitions,
+        ledgers = ledgers,
         scope = scope,
         clock = clock,
         log = log,
         policy = GrantPolicy(),
         customerOf = { id -> state.routes?.customerNamed(id) },
         reports = reports,
+        lender = LoanClient(HttpCaller(eventLoop, clock), log) { customer -> reports.lendersOf(customer) },
     )
     private val listener = CallerListener(
         group,
@@ -99,7 +106,7 @@
             isDraining = { isDraining },
             bodyMemory = bodyMemory,
             handler = RequestServer(
-                ServeContext(state, protocol, budgets, retries, client, clock, log, metrics) { reports.liveCount() },
+                ServeContext(state, protocol, budgets, retries, client, clock, log, metrics, { reports.liveCount() }),
             ),
         ),
     )
@@ -111,13 +118,16 @@
     public fun start() {
         StatusListener(group) { readiness() }.listen(settings.readinessAddress)
         settings.metricsAddress?.let { StatusListener(group) { StatusText(OK, metrics.render()) }.listen(it) }
+        settings.peerAddress?.let { address -> LoanServer(group, scope) { budgets.lend(it) }.listen(address) }
         listener.listen(settings.callerAddress)
         registerGauges()
         follow(PLAN_PACE, documents.planPartition, PlanSubscriber(state, documents, log) {})
         follow(TARGET_PACE, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
         follow(REPORT_PACE, RouterReports.partition, reports)
         reports.budgets = budgets
-        scope.launch { reports.run(onEstablished = { scope.launch { budgets.closePredecessors() } }) }
+        scope.launch {
+            reports.run(onEstablished = { scope.launch { PredecessorGrants(self, ledgers, reports, log).closeAll() } })
+        }
         scope.launch { tend() }
         log.process("Started.", "incarnation" to self.value, "callers" to settings.callerAddress.toString())
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/ReceivedRequest.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/ReceivedRequest.kt
@@ -15,11 +15,11 @@
 }
 
 /** Why a request cannot be read safely. The connection ends after the answer. */
-internal enum class HeadRejection(val status: Int) {
-    MALFORMED(400),
-    AMBIGUOUS_LENGTH(400),
-    HEADERS_TOO_LARGE(431),
-    BODY_TOO_LARGE(413),
-    READ_TIMEOUT(408),
-    MEMORY_FULL(503),
+internal enum class HeadRejection {
+    MALFORMED,
+    AMBIGUOUS_LENGTH,
+    HEADERS_TOO_LARGE,
+    BODY_TOO_LARGE,
+    READ_TIMEOUT,
+    MEMORY_FULL,
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
@@ -173,7 +174,7 @@
     }
 
     private companion object {
-        val NO_TRAILERS: HttpHeaders = io.netty.handler.codec.http.DefaultHttpHeadersFactory.trailersFactory().newHeaders()
+        val NO_TRAILERS: HttpHeaders = DefaultHttpHeadersFactory.trailersFactory().newHeaders()
         val BODILESS = setOf(204, 304)
 
         /** What one answer may hold unread; a few of the largest events. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Admission.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Admission.kt
@@ -17,7 +17,7 @@
 /** Finds a request's route and customer, and its deadline. */
 internal class Admission(private val state: FleetState, private val clock: SteadyClock) {
     fun admit(received: ReceivedRequest, head: CallerRequestHead): Either<Refusal, WorkRequest> = either {
-        received.rejection?.let { raise(Refusal(codeOf(it), RETRY_SOON_MILLISECONDS.takeIf { _ -> it.status >= 500 })) }
+        received.rejection?.let { raise(refusalOf(it)) }
         val table = ensureNotNull(state.routes.takeIf { state.isReady }) {
             Refusal(ResultCode.ROUTER_NOT_READY, RETRY_NOT_READY_MILLISECONDS)
         }
@@ -50,6 +50,9 @@
 
     private fun hasCustomers(table: RouteTable): Boolean = table.plan.customers.isNotEmpty()
 
+    private fun refusalOf(rejection: HeadRejection): Refusal =
+        Refusal(codeOf(rejection), RETRY_SOON_MILLISECONDS.takeIf { rejection == HeadRejection.MEMORY_FULL })
+
     private fun codeOf(rejection: HeadRejection): ResultCode = when (rejection) {
         HeadRejection.MALFORMED, HeadRejection.AMBIGUOUS_LENGTH -> ResultCode.MALFORMED_REQUEST
         HeadRejection.HEADERS_TOO_LARGE -> ResultCode.HEADERS_TOO_LARGE
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.serve
 
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import kotlinx.coroutines.withTimeoutOrNull
@@ -166,7 +167,7 @@
         }
     }
 
-    /** Keeps a short body until it is whole, so that a broken one can still be replaced; passes a long one on as it comes. */
+    /** Keeps a short body until it is whole, so that a broken one can be replaced; passes a long one on as it comes. */
     private suspend fun passBody(connection: ClientConnection, response: HttpResponse): AttemptResult {
         val body = ByteArrayOutputStream()
         val status = response.status().code()
@@ -183,20 +184,21 @@
                     return AttemptResult.Delivered(status)
                 }
 
-                is AnswerPart.Body -> if (progress.answer.hasBegun) {
-                    progress.answer.write(part.content)
-                } else {
-                    part.content.readBytes(body, part.content.readableBytes())
-                    part.content.release()
-                    if (body.size() > MAXIMUM_KEPT_BODY_BYTES) beginBody(status, response, body)
-                }
+                is AnswerPart.Body -> takeBody(response, part.content, body)
             }
         }
     }
 
+    private suspend fun takeBody(response: HttpResponse, content: ByteBuf, body: ByteArrayOutputStream) {
+        if (progress.answer.hasBegun) return progress.answer.write(content)
+        content.readBytes(body, content.readableBytes())
+        content.release()
+        if (body.size() > MAXIMUM_KEPT_BODY_BYTES) beginBody(response.status().code(), response, body)
+    }
+
     private suspend fun beginBody(status: Int, response: HttpResponse, body: ByteArrayOutputStream) {
         progress.answer.begin(status, protocol.callerHeaders(response.headers()))
-        progress.answer.write(io.netty.buffer.Unpooled.wrappedBuffer(body.toByteArray()))
+        progress.answer.write(Unpooled.wrappedBuffer(body.toByteArray()))
     }
 
     private fun finishBody(status: Int, response: HttpResponse, body: ByteArrayOutputStream) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/AttemptResult.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/AttemptResult.kt
@@ -4,6 +4,16 @@
 
 /** How one try on one target ended. */
 internal sealed interface AttemptResult {
+    /** A short text for logs. */
+    fun describe(): String = when (this) {
+        is Delivered -> "delivered $status"
+        is Unsent -> "unsent: $reason"
+        is NotRun -> "not run, $status"
+        Misdirected -> "misdirected"
+        is Failed -> "failed with $status"
+        is Broken -> "broken: $reason"
+    }
+
     /** The whole answer was passed on. */
     data class Delivered(val status: Int) : AttemptResult
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -4,15 +4,8 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
-import org.heatherwind.core.fleet.ServiceProfile
-import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.identity.SteadyClock
-import org.heatherwind.core.identity.TargetId
-import org.heatherwind.core.placement.Placement
-import org.heatherwind.core.placement.PlacementPolicy
-import org.heatherwind.core.placement.UrgencyPolicy
 import org.heatherwind.core.result.ResultCode
-import org.heatherwind.core.work.Repeatability
 import org.heatherwind.core.work.WorkRequest
 import org.heatherwind.gateway.caller.CallerAnswer
 import org.heatherwind.gateway.caller.ReceivedRequest
@@ -36,13 +29,13 @@
     val log: DecisionLog,
     val metrics: GatewayMetrics,
     val routers: () -> Int,
+    val silence: SilencePolicy = SilencePolicy(),
 )
 
 /** Serves callers' requests: admission, budget, tries on targets, and the final answer. */
 internal class RequestServer(private val context: ServeContext) : RequestHandler {
     private val admission = Admission(context.state, context.clock)
     private val refusals = RefusalWriter(context.protocol)
-    private val silence = SilencePolicy()
 
     override suspend fun serve(request: ReceivedRequest, answer: CallerAnswer) {
         val head = context.protocol.readRequest(request.head)
@@ -96,104 +89,9 @@
     private fun tokensPerEvent(work: WorkRequest): Int = context.state.routes?.plan?.services
         ?.get(work.route.destinations.first().service)?.engine?.tokensPerEvent ?: 1
 
-    /** Tries targets until one answers. Answers the refusal that ends the request otherwise. */
     private suspend fun serveTries(work: WorkRequest, request: ReceivedRequest, progress: DeliveryProgress): Refusal? {
-        val service =
-            DestinationChoice.choose(work) ?: return Refusal(ResultCode.NO_TARGET_FREE, RETRY_TARGET_MILLISECONDS)
-        val tried = HashSet<TargetId>()
-        var sends = 0
-        var arrivals = 0
-        var lastRefusal = Refusal(ResultCode.NO_TARGET_FREE, RETRY_TARGET_MILLISECONDS)
-        while (tried.size < MAXIMUM_TARGETS && sends < work.route.maximumTargets) {
-            if (arrivals > 0 && !context.retries.tryTake(service, context.clock.now())) break
-            val placement = choose(work, service, tried) ?: break
-            val target = placement.target
-            tried += target.entry.id
-            if (arrivals == 0) context.retries.recordFirst(service, context.clock.now())
-            val ranBefore = progress.mayHaveRun
-            val result = attempt(work, request, placement, progress)
-            context.log.request(
-                work.id,
-                "Try on a target ended.",
-                "target" to target.entry.id.value,
-                "result" to result,
-                "send" to sends,
-                "ageMilliseconds" to context.clock.now().millisecondsSince(work.receivedAt),
-            )
-            if (result !is AttemptResult.Unsent) arrivals++
-            when (result) {
-                is AttemptResult.Delivered -> return null
-
-                is AttemptResult.Unsent -> Unit
-
-                AttemptResult.Misdirected -> progress.mayHaveRun = ranBefore
-
-                is AttemptResult.NotRun -> {
-                    sends++
-                    progress.mayHaveRun = ranBefore
-                    if (!ranBefore) lastRefusal = Refusal(ResultCode.TARGET_REFUSED, RETRY_TARGET_MILLISECONDS)
-                }
-
-                is AttemptResult.Failed -> {
-                    sends++
-                    lastRefusal = Refusal(ResultCode.TARGET_FAILED)
-                    val isLast = sends >= work.route.maximumTargets || !mayRepeat(work, progress)
-                    if (isLast && !progress.answer.hasBegun) {
-                        progress.answer.respond(result.status, result.headers, result.body)
-                        return null
-                    }
-                }
-
-                is AttemptResult.Broken -> {
-                    sends++
-                    lastRefusal = Refusal(
-                        if (progress.answer.hasBegun) ResultCode.ANSWER_INTERRUPTED else ResultCode.TARGET_FAILED,
-                    )
-                }
-            }
-            if (progress.mayHaveRun && !mayRepeat(work, progress)) break
-        }
-        return lastRefusal
-    }
-
-    private suspend fun attempt(
-        work: WorkRequest,
-        request: ReceivedRequest,
-        placement: Placement,
-        progress: DeliveryProgress,
-    ): AttemptResult {
-        context.metrics.countSend(placement.target.entry.service.value, isFirst = !progress.mayHaveRun)
-        return Attempt(
-            work = work,
-            received = request,
-            placement = placement,
-            progress = progress,
-            urgency = work.tokens?.let { UrgencyPolicy.urgencyOf(work) },
-            protocol = context.protocol,
-            client = context.client,
-            clock = context.clock,
-            silence = silence,
-        ).run()
-    }
-
-    private fun choose(work: WorkRequest, service: ServiceId, tried: Set<TargetId>): Placement? {
-        val profile: ServiceProfile? = context.state.routes?.plan?.services?.get(service)
-        val connections = (profile?.maximumConnections ?: DEFAULT_CONNECTIONS) * CONNECTION_SHARE /
-            context.routers().coerceAtLeast(1)
-        return PlacementPolicy.choose(
-            candidates = context.state.candidatesOf(service),
-            engine = profile?.engine,
-            tokens = work.tokens,
-            excluded = tried,
-            connectionsPerTarget = connections.toInt().coerceAtLeast(MINIMUM_CONNECTIONS),
-            now = context.clock.now(),
-        )
-    }
-
-    private fun mayRepeat(work: WorkRequest, progress: DeliveryProgress): Boolean = when (work.route.repeatability) {
-        Repeatability.AtMostOnce -> false
-        Repeatability.Idempotent -> !progress.answer.hasBegun
-        Repeatability.Resumable -> !progress.answer.hasBegun || progress.lastEventId != null
+        val service = DestinationChoice.choose(work) ?: return Refusal(ResultCode.NO_TARGET_FREE)
+        return TargetTries(context, work, request, progress, service).run()
     }
 
     private fun end(id: String, route: String, code: ResultCode, vararg inputs: Pair<String, Any?>) {
@@ -204,21 +102,10 @@
     private companion object {
         const val NO_ROUTE = "none"
 
-        /** Targets asked for a connection before the request is refused. */
-        const val MAXIMUM_TARGETS = 4
-
         /** A router that just lost the store may use more of its grants after about this long. */
         const val BUDGET_PATIENCE_MILLISECONDS = 2_000L
 
-        /** Grants that went elsewhere come back about once a second. */
+        /** Grants that went elsewhere come back a few times a second. */
         const val RETRY_BUDGET_MILLISECONDS = 500L
-
-        /** A slot frees up within some tens of milliseconds. */
-        const val RETRY_TARGET_MILLISECONDS = 100L
-        const val DEFAULT_CONNECTIONS = 100
-
-        /** Part of a target's connections that the routers divide; the rest is for health checks and uneven shares. */
-        const val CONNECTION_SHARE = 0.9
-        const val MINIMUM_CONNECTIONS = 2
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
@@ -15,8 +15,8 @@
     val openedCount: Long get() = connections.openedCount
 
     /**
-     * A connection to [target], or null when none could be had. A request that may run once only goes out on a connection
-     * that was in use lately, since a stale one would leave its outcome unknown.
+     * A connection to [target], or null when none could be had. A request that may run once only goes out on a
+     * connection that was in use lately, since a stale one would leave its outcome unknown.
      */
     suspend fun connect(target: TargetLoad, isRepeatable: Boolean): ClientConnection? {
         val maximumIdle = if (isRepeatable) MAXIMUM_IDLE_MILLISECONDS else MAXIMUM_IDLE_ONCE_MILLISECONDS
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -5,20 +5,21 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.heatherwind.core.escrow.BorrowedTokens
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.escrow.BudgetHolding
 import org.heatherwind.core.escrow.BudgetRemainder
 import org.heatherwind.core.escrow.GrantPolicy
 import org.heatherwind.core.escrow.HolderCharge
+import org.heatherwind.core.escrow.TokenSource
 import org.heatherwind.core.fleet.Customer
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.identity.SteadyClock
-import org.heatherwind.core.routing.Rendezvous
-import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.peer.LoanRequest
+import org.heatherwind.gateway.peer.TokenLender
 import org.heatherwind.gateway.store.StreamAppend
-import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.telemetry.DecisionLog
 
 /** Whether a request's worst case could be reserved. */
@@ -39,72 +40,134 @@
  */
 internal class BudgetKeeper(
     private val self: Incarnation,
-    private val store: RecordStore,
-    private val partitions: Int,
+    private val ledgers: BudgetLedgers,
     private val scope: CoroutineScope,
     private val clock: SteadyClock,
     private val log: DecisionLog,
     private val policy: GrantPolicy,
     private val customerOf: (CustomerId) -> Customer?,
     private val reports: RouterReports,
+    private val lender: TokenLender,
 ) : ReportedBudgets {
     private val accounts = HashMap<CustomerId, Account>()
-    private val ledgers = HashMap<Int, LedgerPartition>()
 
     /** Reserves [tokens] for [customer], and waits for a grant until [until] where this router holds too little. */
     suspend fun reserve(customer: Customer, tokens: Long, until: Moment): BudgetDecision {
         val prepaid = customer.prepaidTokens ?: return BudgetDecision.Reserved(BudgetReservation(null, 0))
-        val now = clock.now()
-        val account = accounts.getOrPut(customer.id) { Account(customer.id, BudgetHolding(now)) }
-        account.holding.recordDemand(tokens, now)
-        if (account.holding.tryReserve(tokens, now)) {
-            if (policy.isRefillDue(account.holding, remainderOf(account), now)) refill(account, neededTokens = 0)
-            if (account.holding.isCeilingLow(now)) reports.wantPublished()
-            return BudgetDecision.Reserved(BudgetReservation(account.holding, tokens))
+        val account = accountOf(customer.id)
+        account.holding.recordDemand(tokens, clock.now())
+        val source = sourceAtOnce(account, tokens) ?: sourceWithWait(account, tokens, until)
+        return if (source ==
+            null
+        ) {
+            refuse(account, prepaid, tokens)
+        } else {
+            BudgetDecision.Reserved(BudgetReservation(source, tokens))
         }
-        val wait = until.millisecondsSince(now).coerceAtLeast(1)
+    }
+
+    private fun sourceAtOnce(account: Account, tokens: Long): TokenSource? {
+        val now = clock.now()
+        if (!account.holding.tryReserve(tokens, now)) return account.borrowed.takeIf { it.tryReserve(tokens) }
+        if (policy.isRefillDue(account.holding, remainderOf(account), now)) refill(account, neededTokens = 0)
+        if (account.holding.isCeilingLow(now)) reports.wantPublished()
+        return account.holding
+    }
+
+    private suspend fun sourceWithWait(account: Account, tokens: Long, until: Moment): TokenSource? {
+        val wait = until.millisecondsSince(clock.now()).coerceAtLeast(1)
         val isReserved = withTimeoutOrNull(wait) { reserveWithMore(account, tokens) } ?: false
-        if (isReserved) return BudgetDecision.Reserved(BudgetReservation(account.holding, tokens))
-        val known = reports.usedElsewhere(customer.id) + account.holding.usedTokens +
-            ledgerOf(customer.id).allocationOf(customer.id).certainClosedTokens
-        val isShort = account.isStoreCurrent && prepaid - known < tokens
+        return when {
+            isReserved -> account.holding
+            reports.isStoreLost() && borrow(account, tokens) -> account.borrowed
+            else -> null
+        }
+    }
+
+    /** Says "exhausted" only where what was certainly charged leaves too little. */
+    private fun refuse(account: Account, prepaid: Long, tokens: Long): BudgetDecision {
+        val charged = reports.usedElsewhere(account.id) + account.holding.usedTokens +
+            ledgerOf(account.id).allocationOf(account.id).certainClosedTokens
+        val isShort = account.isStoreCurrent && prepaid - charged < tokens
         log.belief(
             "budget",
             "Could not reserve tokens.",
-            "customer" to customer.id.value,
+            "customer" to account.id.value,
             "tokens" to tokens,
             "reservable" to account.holding.reservableTokens(clock.now()),
             "available" to account.holding.availableTokens,
             "granted" to account.holding.grantedTokens,
             "prepaid" to prepaid,
+            "chargedAtLeast" to charged,
             "exhausted" to isShort,
         )
         return if (isShort) BudgetDecision.Exhausted else BudgetDecision.Undivided
     }
 
+    /** Lends tokens of a customer to another router that cannot reach the store. */
+    suspend fun lend(request: LoanRequest): Long {
+        val customer = CustomerId(request.customer)
+        if (customerOf(customer) == null) return 0
+        val account = accountOf(customer)
+        val lent = lendFromStore(account, request.wantedTokens)
+            ?: account.holding.lend(request.neededTokens, request.wantedTokens, clock.now())
+        log.belief("budget", "Another router asked for tokens.", "customer" to request.customer, "lent" to lent)
+        return lent
+    }
+
+    /** Lends [tokens] that a larger grant covers, or answers null where the store is out of reach or has none left. */
+    private suspend fun lendFromStore(account: Account, tokens: Long): Long? {
+        if (reports.isStoreLost()) return null
+        val isReserved = account.holding.tryReserve(tokens, clock.now()) ||
+            withTimeoutOrNull(LEND_PATIENCE_MILLISECONDS) { reserveWithMore(account, tokens) } == true
+        if (!isReserved) return null
+        account.holding.charge(tokens)
+        return tokens
+    }
+
+    private fun accountOf(customer: CustomerId): Account =
+        accounts.getOrPut(customer) { Account(customer, BudgetHolding(clock.now())) }
+
+    private suspend fun borrow(account: Account, tokens: Long): Boolean {
+        if (clock.now() < account.nextBorrowing) return false
+        val lent = lender.borrow(account.id, tokens)
+        if (lent == 0L) account.nextBorrowing = clock.now().plusMilliseconds(BORROW_PAUSE_MILLISECONDS)
+        account.borrowed.add(lent)
+        return account.borrowed.tryReserve(tokens)
+    }
+
     /** Reserves [tokens] after the grant or the ceiling was raised; false when no more tokens are free. */
     private suspend fun reserveWithMore(account: Account, tokens: Long): Boolean {
-        while (true) {
-            if (account.holding.availableTokens < tokens) {
-                when (refill(account, tokens).await()) {
-                    GrantChange.SHORT -> {
-                        if (uncommittedTokens(account) < tokens) return false
-                        delay(SHORT_PAUSE_MILLISECONDS)
-                    }
-
-                    GrantChange.FAILED -> {
-                        if (reports.isStoreLost()) return false
-                        delay(RETRY_PAUSE_MILLISECONDS)
-                    }
-
-                    GrantChange.DONE -> Unit
-                }
+        while (!account.holding.tryReserve(tokens, clock.now())) {
+            val isHopeful = if (account.holding.availableTokens < tokens) {
+                awaitGrant(account, tokens)
             } else {
-                account.neededTokens = maxOf(account.neededTokens, tokens)
-                withTimeoutOrNull(CEILING_PAUSE_MILLISECONDS) { reports.publishSoon() }
+                awaitCeiling(account, tokens)
+                true
             }
-            if (account.holding.tryReserve(tokens, clock.now())) return true
+            if (!isHopeful) return false
         }
+        return true
+    }
+
+    /** Waits for a larger grant. Answers whether one may still come. */
+    private suspend fun awaitGrant(account: Account, tokens: Long): Boolean = when (refill(account, tokens).await()) {
+        GrantChange.DONE -> true
+
+        GrantChange.SHORT -> {
+            delay(SHORT_PAUSE_MILLISECONDS)
+            uncommittedTokens(account) >= tokens
+        }
+
+        GrantChange.FAILED -> {
+            delay(RETRY_PAUSE_MILLISECONDS)
+            !reports.isStoreLost()
+        }
+    }
+
+    private suspend fun awaitCeiling(account: Account, tokens: Long) {
+        account.neededTokens = maxOf(account.neededTokens, tokens)
+        withTimeoutOrNull(CEILING_PAUSE_MILLISECONDS) { reports.publishSoon() }
     }
 
     override fun present(): Map<CustomerId, BudgetReport> {
@@ -118,6 +181,7 @@
                 usedTokens = account.holding.usedTokens,
                 ceilingTokens = ceiling.tokens,
                 growthPerSecond = ceiling.growthPerSecond,
+                availableTokens = account.holding.availableTokens,
                 demandPerSecond = demand.toLong(),
             )
         }
@@ -127,45 +191,6 @@
         reported.forEach { (customer, budget) -> accounts[customer]?.holding?.confirm(budget.ceiling, sentAt) }
     }
 
-    /** Closes the grants of earlier processes on this instance, until none is left. */
-    suspend fun closePredecessors() {
-        var isDone = false
-        while (!isDone) {
-            isDone = (0 until partitions).map { closePredecessors(ledgerAt(it)) }.all { it }
-            if (!isDone) delay(RETRY_PAUSE_MILLISECONDS)
-        }
-        reports.predecessors = emptyMap()
-    }
-
-    private suspend fun closePredecessors(ledger: LedgerPartition): Boolean {
-        repeat(MAXIMUM_CONFLICTS) {
-            if (!ledger.isCurrent && !ledger.refresh()) return false
-            val closed = ledger.all().mapValues { (customer, before) -> closingPredecessors(customer, before) }
-                .filter { (customer, after) -> after != ledger.allocationOf(customer) }
-            if (closed.isEmpty()) return true
-            when (val append = ledger.append(closed)) {
-                is StreamAppend.Appended -> {
-                    closed.forEach { (customer, allocation) -> logClosed(customer, allocation) }
-                    return true
-                }
-
-                is StreamAppend.Unknown, is StreamAppend.Rejected -> {
-                    log.belief("budget", "Closing earlier grants was not confirmed.", "outcome" to append)
-                    return false
-                }
-
-                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(conflictPause())
-            }
-        }
-        return false
-    }
-
-    private fun closingPredecessors(customer: CustomerId, allocation: BudgetAllocation): BudgetAllocation =
-        allocation.grants.keys.filter { it.instance == self.instance && it != self }.fold(allocation) { open, process ->
-            val charges = reports.predecessors[process]
-            open.closing(process, if (charges == null) HolderCharge.unknown else charges[customer] ?: HolderCharge.none)
-        }
-
     /** Gives back what is held without need, and asks for what runs low. */
     fun tend() {
         val now = clock.now()
@@ -203,7 +228,7 @@
 
     private suspend fun changeGrant(account: Account, neededTokens: Long): GrantChange {
         val ledger = ledgerOf(account.id)
-        repeat(MAXIMUM_CONFLICTS) {
+        repeat(BudgetLedgers.MAXIMUM_CONFLICTS) {
             if (!ledger.isCurrent && !ledger.refresh()) {
                 account.isStoreCurrent = false
                 return GrantChange.FAILED
@@ -229,13 +254,10 @@
                     return GrantChange.DONE
                 }
 
-                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(conflictPause())
+                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(BudgetLedgers.conflictPause())
 
-                is StreamAppend.Rejected -> return unconfirmed(account, append)
-
-                is StreamAppend.Unknown -> {
-                    account.certainTokens = minOf(account.certainTokens, before, after)
-                    account.holding.setGranted(minOf(before, account.certainTokens))
+                is StreamAppend.Rejected, is StreamAppend.Unknown -> {
+                    if (append is StreamAppend.Unknown) distrust(account, minOf(before, after))
                     return unconfirmed(account, append)
                 }
             }
@@ -243,6 +265,12 @@
         return GrantChange.FAILED
     }
 
+    /** Keeps to [tokens] until a change is confirmed, since the one that got no answer may take effect later. */
+    private fun distrust(account: Account, tokens: Long) {
+        account.certainTokens = minOf(account.certainTokens, tokens)
+        account.holding.setGranted(account.certainTokens)
+    }
+
     private fun unconfirmed(account: Account, append: StreamAppend): GrantChange {
         log.belief("budget", "A grant was not confirmed.", "customer" to account.id.value, "outcome" to append)
         return GrantChange.FAILED
@@ -280,15 +308,6 @@
         )
     }
 
-    private fun logClosed(customer: CustomerId, allocation: BudgetAllocation): Unit = log.belief(
-        "budget",
-        "Closed the grants of earlier processes.",
-        "customer" to customer.value,
-        "chargedAtMost" to allocation.closedTokens,
-        "chargedAtLeast" to allocation.certainClosedTokens,
-        "allocated" to allocation.allocatedTokens,
-    )
-
     private fun logChange(account: Account, before: Long, after: Long, allocation: BudgetAllocation): Unit = log.belief(
         "budget",
         "A grant changed.",
@@ -299,41 +318,37 @@
         "allocated" to allocation.allocatedTokens,
     )
 
-    private fun conflictPause(): Long = (CONFLICT_PAUSE_MILLISECONDS * (1 + Math.random())).toLong()
-
-    private fun ledgerOf(customer: CustomerId): LedgerPartition =
-        ledgerAt(Rendezvous.partitionOf(customer.value, partitions))
-
-    private fun ledgerAt(index: Int): LedgerPartition =
-        ledgers.getOrPut(index) { LedgerPartition(store, StreamPartition(STREAM, index)) }
+    private fun ledgerOf(customer: CustomerId): LedgerPartition = ledgers.of(customer)
 
     private class Account(val id: CustomerId, val holding: BudgetHolding) {
         var change: CompletableDeferred<GrantChange>? = null
+        val borrowed = BorrowedTokens()
+        var nextBorrowing = Moment.distantPast
         var isClosing = false
 
         /** The largest request that waits for a higher ceiling. */
         var neededTokens = 0L
         var isStoreCurrent = false
 
-        /** A change whose outcome is unknown may take effect later, so no more than this is used until one is confirmed. */
+        /** The most that is used while the outcome of a change is unknown. */
         var certainTokens = Long.MAX_VALUE
     }
 
     private enum class GrantChange { DONE, SHORT, FAILED }
 
     private companion object {
-        const val STREAM = "budgets"
-
-        /** Other routers change grants of the same partition; each conflict is read and tried anew. */
-        const val MAXIMUM_CONFLICTS = 12
-        const val CONFLICT_PAUSE_MILLISECONDS = 6.0
-
         /** Other routers give back what they do not need a few times a second. */
         const val SHORT_PAUSE_MILLISECONDS = 120L
 
         /** While reports get no answer, the ceiling grows with time, so it is looked at this often. */
         const val CEILING_PAUSE_MILLISECONDS = 50L
 
+        /** A change of a grant takes some tens of milliseconds. */
+        const val LEND_PATIENCE_MILLISECONDS = 150L
+
+        /** Routers that had nothing to spare are asked again after this. */
+        const val BORROW_PAUSE_MILLISECONDS = 300L
+
         /** Pause after the store turned a change away. */
         const val RETRY_PAUSE_MILLISECONDS = 60L
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -14,6 +14,7 @@
  * @property budgets what it charged and may charge, by customer
  * @property predecessors what earlier processes on the same instance may have charged, while their grants are open
  * @property isLeaving whether it takes no new callers
+ * @property peerAddress IP number and port at which other routers reach it
  */
 @Serializable
 internal data class RouterReport(
@@ -24,14 +25,19 @@
     val budgets: Map<String, BudgetReport> = emptyMap(),
     val predecessors: Map<String, Map<String, ChargeReport>> = emptyMap(),
     val isLeaving: Boolean = false,
+    val peerAddress: String? = null,
 )
 
-/** A router's word on one budget: tokens charged, the ceiling until its next word, and tokens asked for per second. */
+/**
+ * A router's word on one budget: tokens charged, the ceiling until its next word, tokens granted and unused, and tokens
+ * asked for per second.
+ */
 @Serializable
 internal data class BudgetReport(
     val usedTokens: Long,
     val ceilingTokens: Long,
     val growthPerSecond: Long,
+    val availableTokens: Long,
     val demandPerSecond: Long,
 ) {
     val ceiling: SpendCeiling get() = SpendCeiling(ceilingTokens, growthPerSecond)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
@@ -22,6 +22,7 @@
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.store.StreamRead
 import org.heatherwind.gateway.telemetry.DecisionLog
+import java.net.InetSocketAddress
 
 /** What this router reports of its budgets, and hears of the confirmation. */
 internal interface ReportedBudgets {
@@ -33,8 +34,8 @@
 }
 
 /**
- * Publishes this router's report and keeps those of the others. Reports of one instance are fenced by an epoch, so that a
- * late report of an earlier process can never follow those of its successor. Confined to the event loop.
+ * Publishes this router's report and keeps those of the others. Reports of one instance are fenced by an epoch, so that
+ * a late report of an earlier process can never follow those of its successor. Confined to the event loop.
  */
 internal class RouterReports(
     private val self: Incarnation,
@@ -44,6 +45,7 @@
     private val startedAt: Timestamp,
     private val timeOfDay: () -> Timestamp,
     private val isLeaving: () -> Boolean,
+    private val peerAddress: InetSocketAddress?,
 ) : StreamSubscriber {
     /** The budgets that reports carry. */
     lateinit var budgets: ReportedBudgets
@@ -57,7 +59,7 @@
     private var wanted = CompletableDeferred<Unit>()
     private var published = CompletableDeferred<Unit>()
 
-    /** What earlier processes on this instance may have charged, by process and customer; empty once that is settled. */
+    /** What earlier processes on this instance may have charged, by process and customer, until it is closed. */
     var predecessors: Map<Incarnation, Map<CustomerId, HolderCharge>> = emptyMap()
 
     /** Whether earlier processes on this instance can no longer report. */
@@ -90,6 +92,15 @@
         if (isOther) known.report.budgets[customer.value]?.demandPerSecond?.toDouble() ?: 0.0 else 0.0
     }
 
+    /** Where routers listen that hold tokens of [customer], by their last reports, the largest holding first. */
+    fun lendersOf(customer: CustomerId): List<InetSocketAddress> = latest.values
+        .filter { it.report.incarnation != self.value && !it.report.isLeaving }
+        .sortedByDescending { it.report.budgets[customer.value]?.availableTokens ?: 0 }
+        .mapNotNull { known -> known.report.peerAddress?.let { addressOf(it) } }
+
+    private fun addressOf(text: String): InetSocketAddress? =
+        text.substringAfterLast(':').toIntOrNull()?.let { InetSocketAddress(text.substringBeforeLast(':'), it) }
+
     /** Whether the store confirmed nothing for so long that waiting for it does not help an open request. */
     fun isStoreLost(): Boolean = clock.now().millisecondsSince(confirmedAt) > LOST_MILLISECONDS
 
@@ -142,6 +153,7 @@
                     charges.entries.associate { it.key.value to ChargeReport(it.value.atLeast, it.value.atMost) }
             },
             isLeaving = isLeaving(),
+            peerAddress = peerAddress?.let { "${it.hostString}:${it.port}" },
         )
         return SentReport(
             Json.encodeToString(RouterReport.serializer(), report).encodeToByteArray(),
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/DecisionLog.kt
@@ -5,8 +5,8 @@
 import org.heatherwind.core.identity.SteadyClock
 
 /**
- * One line for each decision that touches a request or changes what the router believes. Beyond a rate, lines are dropped
- * and counted, so that logging cannot take the processor from requests.
+ * One line for each decision that touches a request or changes what the router believes. Beyond a rate, lines are
+ * dropped and counted, so that logging cannot take the processor from requests.
  */
 public class DecisionLog(private val clock: SteadyClock, private val metrics: GatewayMetrics) {
     private val requests = KotlinLogging.logger("request")
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
@@ -19,6 +19,7 @@
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.identity.SteadyClock
 import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.gateway.peer.LoanRequest
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.GatewayMetrics
@@ -28,8 +29,8 @@
 import kotlin.test.assertTrue
 
 /**
- * Given routers that die, restart and lose the store at seeded moments, when customers send more than they prepaid, then
- * no customer gets more than was prepaid, and little of it is lost.
+ * Given routers that die, restart and lose the store at seeded moments, when customers send more than they prepaid,
+ * then no customer gets more than was prepaid, and little of it is lost.
  */
 @OptIn(ExperimentalCoroutinesApi::class)
 class BudgetHistoryTest {
@@ -64,6 +65,7 @@
         val routers = List(ROUTERS) { index ->
             HistoryRouter("router-$index", this, records, truth, Random(random.nextInt()), case.faultShare)
         }
+        routers.forEach { router -> router.peers = routers - router }
         routers.forEach { it.start() }
         if (case.isCut) {
             world.launch {
@@ -107,6 +109,10 @@
         private val clock = SteadyClock { Moment(test.currentTime) }
         private var scope: CoroutineScope? = null
         private var store: MemoryRecordStore? = null
+        private var budgets: BudgetKeeper? = null
+
+        /** Routers that this one may borrow from. */
+        var peers: List<HistoryRouter> = emptyList()
         private var isCut = false
 
         fun setCut(cut: Boolean) {
@@ -117,6 +123,7 @@
         fun kill() {
             scope?.cancel()
             scope = null
+            budgets = null
         }
 
         fun start() {
@@ -128,22 +135,30 @@
             own.isCut = isCut
             val log = DecisionLog(clock, GatewayMetrics())
             val reports =
-                RouterReports(self, own, clock, log, startedAt, { Timestamp(EPOCH + test.currentTime) }, { false })
+                RouterReports(self, own, clock, log, startedAt, {
+                    Timestamp(EPOCH + test.currentTime)
+                }, { false }, null)
+            val ledgers = BudgetLedgers(own, partitions = 2)
             val budgets = BudgetKeeper(
                 self = self,
-                store = own,
-                partitions = 2,
+                ledgers = ledgers,
                 scope = life,
                 clock = clock,
                 log = log,
                 policy = GrantPolicy(),
                 customerOf = { customer },
                 reports = reports,
+                lender = { customer, needed -> borrow(customer, needed) },
             )
+            this.budgets = budgets
             reports.budgets = budgets
             scope = life
             store = own
-            life.launch { reports.run(onEstablished = { life.launch { budgets.closePredecessors() } }) }
+            life.launch {
+                reports.run(onEstablished = {
+                    life.launch { PredecessorGrants(self, ledgers, reports, log).closeAll() }
+                })
+            }
             val follower = StreamFollower(own, StreamPartition("routers"), FollowPace(0, 500), clock, log, reports)
             life.launch { follower.run() }
             life.launch {
@@ -155,6 +170,13 @@
             life.launch { callers(life, budgets) }
         }
 
+        private suspend fun borrow(customer: CustomerId, needed: Long): Long {
+            delay(random.nextLong(1, 5))
+            val lent = peers.shuffled(random).firstNotNullOfOrNull { it.budgets } ?: return 0
+            val tokens = lent.lend(LoanRequest(customer.value, needed, needed * 2))
+            return if (random.nextDouble() < faultShare) 0 else tokens
+        }
+
         private suspend fun callers(life: CoroutineScope, budgets: BudgetKeeper) {
             while (true) {
                 delay(random.nextLong(20, 180))
