--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -42,7 +42,14 @@
         val id = head.id.orEmpty()
         when (val admitted = admission.admit(request, head)) {
             is Either.Left -> {
-                end(id, NO_ROUTE, admitted.value.code, "path" to request.path)
+                end(
+                    id,
+                    NO_ROUTE,
+                    admitted.value.code,
+                    "path" to request.path,
+                    "planVersion" to context.state.routes?.plan?.version,
+                    "planAgeMilliseconds" to context.clock.now().millisecondsSince(context.state.planCheckedAt),
+                )
                 refusals.write(answer, id, admitted.value)
             }
 
@@ -72,7 +79,17 @@
         if (customer == null || tokens == null) return serveTries(work, request, progress)
         val patience = maxOf(work.route.latencyObjectiveMilliseconds, BUDGET_PATIENCE_MILLISECONDS)
         val waitUntil = minOf(work.receivedAt.plusMilliseconds(patience), work.deadline)
-        val reservation = when (val decision = context.budgets.reserve(customer, tokens.worstCase, waitUntil)) {
+        val decision = context.budgets.reserve(customer, tokens.worstCase, waitUntil)
+        if (decision !is BudgetDecision.Reserved) {
+            context.log.request(
+                work.id,
+                "No tokens could be reserved.",
+                "customer" to customer.id.value,
+                "tokens" to tokens.worstCase,
+                "decision" to decision,
+            )
+        }
+        val reservation = when (decision) {
             BudgetDecision.Exhausted -> return Refusal(ResultCode.BUDGET_EXHAUSTED)
             BudgetDecision.Undivided -> return Refusal(ResultCode.BUDGET_UNDIVIDED, RETRY_BUDGET_MILLISECONDS)
             is BudgetDecision.Reserved -> decision.reservation
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetTries.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetTries.kt
@@ -72,6 +72,7 @@
         val ranBefore = progress.mayHaveRun
         tried += placement.target.entry.id
         context.metrics.countSend(service.value, isFirst = arrivals == 0)
+        logChoice(placement)
         val result = Attempt(
             work = work,
             received = request,
@@ -116,13 +117,23 @@
         return false
     }
 
+    private fun logChoice(placement: Placement): Unit = context.log.request(
+        work.id,
+        "Chose a target.",
+        "target" to placement.target.entry.id.value,
+        "unreadTokens" to placement.unreadTokens,
+        "expectedMilliseconds" to placement.expectedMilliseconds.toLong(),
+        "openRequests" to placement.target.openRequests,
+        "pace" to placement.target.paceFactor(context.clock.now()),
+        "planVersion" to context.state.routes?.plan?.version,
+    )
+
     private fun log(placement: Placement, result: AttemptResult): Unit = context.log.request(
         work.id,
         "Try on a target ended.",
         "target" to placement.target.entry.id.value,
         "result" to result.describe(),
         "send" to sends,
-        "expectedMilliseconds" to placement.expectedMilliseconds.toLong(),
         "ageMilliseconds" to context.clock.now().millisecondsSince(work.receivedAt),
     )
 
