--- /dev/null
+++ b/core/src/test/kotlin/org/heatherwind/core/target/TargetDirectoryTest.kt
@@ -0,0 +1,58 @@
+package org.heatherwind.core.target
+
+import org.heatherwind.core.identity.DataCentreId
+import org.heatherwind.core.identity.Moment
+import org.heatherwind.core.identity.ServiceId
+import org.heatherwind.core.identity.TargetId
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+
+/** Given a list of targets, when it changes around outages, then just the targets that live take new work. */
+class TargetDirectoryTest {
+    private class Case(val name: String, val expected: Set<String>, val change: (TargetDirectory) -> TargetDirectory)
+
+    private val both = TargetDirectory().with(entry("a")).with(entry("b"))
+
+    private val cases = listOf(
+        Case("both are ready", setOf("a", "b")) { it },
+        Case("one drains", setOf("b")) { it.with(entry("a", isDraining = true)) },
+        Case("one is removed", setOf("b")) { it.without(TargetId("a"), Moment(100)) },
+        Case("one lapses just after an outage", setOf("a", "b")) {
+            it.regained(Moment(100)).without(TargetId("a"), Moment(200))
+        },
+        Case("a lapsed one stays away", setOf("b")) {
+            it.regained(Moment(100)).without(TargetId("a"), Moment(200)).settled(Moment(3_000))
+        },
+        Case("a lapsed one comes back", setOf("a", "b")) {
+            it.regained(Moment(100)).without(TargetId("a"), Moment(200)).with(entry("a")).settled(Moment(3_000))
+        },
+        Case("a draining one that lapses is gone", setOf("b")) {
+            it.with(entry("a", isDraining = true)).regained(Moment(100)).without(TargetId("a"), Moment(200))
+        },
+        Case("the whole list replaces what is known", setOf("c")) { it.replacedBy(listOf(entry("c")), Moment(100)) },
+    )
+
+    @TestFactory
+    fun `live targets take new work`(): List<DynamicTest> = cases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            val names = case.change(both).candidatesOf(SERVICE).map { it.id.value }.toSet()
+            assertEquals(case.expected, names)
+        }
+    }
+
+    private fun entry(id: String, isDraining: Boolean = false) = TargetEntry(
+        id = TargetId(id),
+        service = SERVICE,
+        host = "127.0.0.1",
+        port = 1,
+        dataCentre = DataCentreId("z"),
+        version = "v1",
+        slots = 4,
+        isDraining = isDraining,
+    )
+
+    private companion object {
+        val SERVICE = ServiceId("pool")
+    }
+}
