--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -46,16 +46,15 @@
     var isBusy = false
         private set
 
-    /** Requests sent on this connection. */
-    var requestCount = 0
-        private set
-
     /** When the last whole answer ended. */
     var idleSince: Moment = openedAt
         private set
 
-    /** When the peer closes the connection if it stays idle, by the peer's word. */
+    /** When the peer closes the connection if it stays idle, by the peer's word, less a margin for the way. */
     var idleLimit: Moment? = null
+        private set
+
+    private var keepAliveSeconds: Long? = null
 
     /** The peer ends the connection after the present answer. */
     var isClosing = false
@@ -70,7 +69,6 @@
     fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) {
         isBusy = true
         isWritten = false
-        requestCount++
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             method,
@@ -102,6 +100,10 @@
     fun finish(): Boolean {
         isBusy = false
         idleSince = clock.now()
+        idleLimit =
+            keepAliveSeconds?.let {
+                idleSince.plusMilliseconds(it * MILLISECONDS_PER_SECOND - IDLE_MARGIN_MILLISECONDS)
+            }
         return isOpen && isWritten && isAnswerFramed && !isClosing && parts.isEmpty
     }
 
@@ -132,6 +134,8 @@
                 response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) ||
                 response.status().code() in BODILESS
             if (!HttpUtil.isKeepAlive(response)) isClosing = true
+            keepAliveSeconds = response.headers()[KEEP_ALIVE]?.substringAfter("timeout=", "")
+                ?.takeWhile { it.isDigit() }?.toLongOrNull()
             offer(AnswerPart.Head(response))
         }
 
@@ -177,6 +181,12 @@
         val NO_TRAILERS: HttpHeaders = DefaultHttpHeadersFactory.trailersFactory().newHeaders()
         val BODILESS = setOf(204, 304)
 
+        const val KEEP_ALIVE = "Keep-Alive"
+        const val MILLISECONDS_PER_SECOND = 1_000L
+
+        /** A request must arrive before the peer gives up on the connection. */
+        const val IDLE_MARGIN_MILLISECONDS = 300L
+
         /** What one answer may hold unread; a few of the largest events. */
         const val STOP_READING_BYTES = 65_536
         const val RESUME_READING_BYTES = 16_384
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
@@ -13,7 +13,6 @@
     val apiKey: String?,
     val patienceMilliseconds: Long?,
     val tokens: TokenDemand?,
-    val lastEventId: Long?,
 )
 
 /** What the router adds to a request that it sends to a target. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -62,7 +62,4 @@
     fun candidatesOf(service: ServiceId): List<TargetLoad> = candidates.getOrPut(service) {
         directory.candidatesOf(service).mapNotNull { loads[it.id] }
     }
-
-    /** Whether [load] still describes a target that takes new work. */
-    fun isCurrent(load: TargetLoad): Boolean = loads[load.entry.id] === load && !load.entry.isDraining
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/DecisionLog.kt
@@ -20,7 +20,7 @@
         if (!mayWrite()) return
         requests.atInfo {
             message = sentence
-            payload = mapOf("request" to id, *inputs)
+            payload = mapOf("request" to id) + readable(inputs)
         }
     }
 
@@ -29,7 +29,7 @@
         if (!mayWrite()) return
         beliefs.atInfo {
             message = sentence
-            payload = mapOf("subject" to subject, *inputs)
+            payload = mapOf("subject" to subject) + readable(inputs)
         }
     }
 
@@ -37,7 +37,7 @@
     public fun dependency(name: String, sentence: String, vararg inputs: Pair<String, Any?>) {
         processes.atWarn {
             message = sentence
-            payload = mapOf("dependency" to name, *inputs)
+            payload = mapOf("dependency" to name) + readable(inputs)
         }
     }
 
@@ -45,10 +45,16 @@
     public fun process(sentence: String, vararg inputs: Pair<String, Any?>) {
         processes.atInfo {
             message = sentence
-            payload = mapOf(*inputs)
+            payload = readable(inputs)
         }
     }
 
+    /** Inputs that the encoder shows as they are; others by their text. */
+    private fun readable(inputs: Array<out Pair<String, Any?>>): Map<String, Any?> = inputs.associate { (name, value) ->
+        name to
+            if (value is Number || value is Boolean) value else value?.toString()
+    }
+
     private fun mayWrite(): Boolean {
         val now: Moment = clock.now()
         val earned = now.millisecondsSince(refilledAt) * LINES_PER_SECOND / MILLISECONDS_PER_SECOND
