Derive what a customer has left in one place, and drop a callback that nothing used

Cause: two functions of the budget keeper computed the same remainder, a wrapper only renamed a call, and the plan's subscriber took a callback that was always empty. Change: as said; behaviour stays.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -121,7 +121,7 @@
         settings.peerAddress?.let { address -> LoanServer(group, scope) { budgets.lend(it) }.listen(address) }
         listener.listen(settings.callerAddress)
         registerGauges()
-        follow(PLAN_PACE, documents.planPartition, PlanSubscriber(state, documents, log) {})
+        follow(PLAN_PACE, documents.planPartition, PlanSubscriber(state, documents, log))
         follow(TARGET_PACE, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
         follow(REPORT_PACE, RouterReports.partition, reports)
         reports.budgets = budgets
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -57,13 +57,8 @@
         val account = accountOf(customer.id)
         account.holding.recordDemand(tokens, clock.now())
         val source = sourceAtOnce(account, tokens) ?: sourceWithWait(account, tokens, until)
-        return if (source ==
-            null
-        ) {
-            refuse(account, prepaid, tokens)
-        } else {
-            BudgetDecision.Reserved(BudgetReservation(source, tokens))
-        }
+        if (source == null) return refuse(account, prepaid, tokens)
+        return BudgetDecision.Reserved(BudgetReservation(source, tokens))
     }
 
     private fun sourceAtOnce(account: Account, tokens: Long): TokenSource? {
@@ -87,7 +82,7 @@
     /** Says "exhausted" only where what was certainly charged leaves too little. */
     private fun refuse(account: Account, prepaid: Long, tokens: Long): BudgetDecision {
         val charged = reports.usedElsewhere(account.id) + account.holding.usedTokens +
-            ledgerOf(account.id).allocationOf(account.id).certainClosedTokens
+            ledgers.of(account.id).allocationOf(account.id).certainClosedTokens
         val isShort = account.isStoreCurrent && prepaid - charged < tokens
         log.belief(
             "budget",
@@ -227,7 +222,7 @@
     }
 
     private suspend fun changeGrant(account: Account, neededTokens: Long): GrantChange {
-        val ledger = ledgerOf(account.id)
+        val ledger = ledgers.of(account.id)
         repeat(BudgetLedgers.MAXIMUM_CONFLICTS) {
             if (!ledger.isCurrent && !ledger.refresh()) {
                 account.isStoreCurrent = false
@@ -292,20 +287,19 @@
     }
 
     /** Tokens that no router has promised to a request; the rest of the grants may come back. */
-    private fun uncommittedTokens(account: Account): Long {
-        val prepaid = customerOf(account.id)?.prepaidTokens ?: 0
-        val closed = ledgerOf(account.id).allocationOf(account.id).closedTokens
-        return prepaid - closed - account.holding.committedTokens - reports.committedElsewhere(account.id)
-    }
+    private fun uncommittedTokens(account: Account): Long =
+        tokensBesideClosed(account) - reports.committedElsewhere(account.id)
 
     /** What the customer has left, by the last read of its allocation and the last reports of use. */
-    private fun remainderOf(account: Account): BudgetRemainder {
+    private fun remainderOf(account: Account) = BudgetRemainder(
+        tokens = tokensBesideClosed(account) - reports.usedElsewhere(account.id),
+        demandElsewherePerSecond = reports.demandElsewhere(account.id),
+    )
+
+    /** Prepaid tokens without what closed grants were charged and what this router committed. */
+    private fun tokensBesideClosed(account: Account): Long {
         val prepaid = customerOf(account.id)?.prepaidTokens ?: 0
-        val closed = ledgerOf(account.id).allocationOf(account.id).closedTokens
-        return BudgetRemainder(
-            tokens = prepaid - closed - account.holding.committedTokens - reports.usedElsewhere(account.id),
-            demandElsewherePerSecond = reports.demandElsewhere(account.id),
-        )
+        return prepaid - ledgers.of(account.id).allocationOf(account.id).closedTokens - account.holding.committedTokens
     }
 
     private fun logChange(account: Account, before: Long, after: Long, allocation: BudgetAllocation): Unit = log.belief(
@@ -318,8 +312,6 @@
         "allocated" to allocation.allocatedTokens,
     )
 
-    private fun ledgerOf(customer: CustomerId): LedgerPartition = ledgers.of(customer)
-
     private class Account(val id: CustomerId, val holding: BudgetHolding) {
         var change: CompletableDeferred<GrantChange>? = null
         val borrowed = BorrowedTokens()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PlanSubscriber.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PlanSubscriber.kt
@@ -10,7 +10,6 @@
     private val state: FleetState,
     private val documents: FleetDocuments,
     private val log: DecisionLog,
-    private val onPlan: () -> Unit,
 ) : StreamSubscriber {
     override fun onSnapshot(records: List<KeyedRecord>): Unit = onRecords(records)
 
@@ -34,7 +33,6 @@
                     "version" to read.value.version,
                     "offset" to record.offset,
                 )
-                onPlan()
             }
         }
     }
