Find tokens that others gave back, credit loans, and lose less of a budget to deaths

Loans charged up to 15,000 spare tokens that were never used or given back. A router with much of a budget left lost up to 25,000 tokens a customer with its death. Change: a copy that shows nothing free is read anew; only holders of open grants count as use elsewhere; loans are credits on both sides and may be partial; the slack of a ceiling is bounded by 0.2% of what is left; the last two seconds of a budget are not divided; closed grants are written for all partitions at once.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -7,12 +7,12 @@
  * What this router holds of one customer's budget. A request reserves its worst case before it is sent, and is charged
  * what it used. It is never started on tokens that were not granted.
  */
-public class BudgetHolding(startedAt: Moment) : TokenSource {
+public class BudgetHolding(startedAt: Moment) {
     /** Tokens granted since the start of this process, by the store. */
     public var grantedTokens: Long = 0
         private set
 
-    /** Tokens charged since the start of this process. */
+    /** Tokens charged since the start of this process, less those received from other routers. */
     public var usedTokens: Long = 0
         private set
 
@@ -34,18 +34,23 @@
 
     /**
      * The ceiling that the next report should carry. What lies between use and ceiling is lost to the customer if this
-     * process dies, so the [abundance] of the customer's tokens decides.
+     * process dies, so it is bounded by what the customer has left. [neededTokens] of a waiting request go beyond that.
      */
-    public fun nextCeiling(now: Moment, neededTokens: Long, abundance: Abundance): SpendCeiling {
+    public fun nextCeiling(now: Moment, neededTokens: Long, remainder: BudgetRemainder): SpendCeiling {
         val rate = demandPerSecond(now)
+        val abundance = remainder.abundance(rate)
+        val bearableLoss = remainder.bearableLossTokens
+        val minimum = minOf(bearableLoss, MINIMUM_SLACK_TOKENS)
         val slack = when (abundance) {
-            Abundance.PLENTIFUL -> maxOf((rate * PLENTIFUL_SLACK_SECONDS).toLong(), PLENTIFUL_SLACK_TOKENS)
-            Abundance.USUAL -> maxOf((rate * SLACK_SECONDS).toLong(), MINIMUM_SLACK_TOKENS)
-            Abundance.SCARCE -> MINIMUM_SLACK_TOKENS
-        }.coerceAtLeast(neededTokens + MINIMUM_SLACK_TOKENS)
+            Abundance.PLENTIFUL -> maxOf((rate * PLENTIFUL_SLACK_SECONDS).toLong(), bearableLoss)
+            Abundance.USUAL -> (rate * SLACK_SECONDS).toLong()
+            Abundance.SCARCE -> 0
+        }.coerceAtLeast(neededTokens + minimum)
+        val isGrowing = abundance != Abundance.SCARCE
         return SpendCeiling(
             tokens = maxOf(committedTokens, minOf(grantedTokens, committedTokens + slack)),
-            growthPerSecond = if (abundance == Abundance.SCARCE) 0 else maxOf(rate.toLong(), MINIMUM_RATE_TOKENS),
+            growthPerSecond = if (isGrowing) maxOf(rate.toLong(), MINIMUM_RATE_TOKENS) else 0,
+            releaseTokens = if (isGrowing) bearableLoss else 0,
         )
     }
 
@@ -76,24 +81,26 @@
         return true
     }
 
-    /**
-     * Charges up to [wanted] tokens that are lent to another router at [now], and answers how many: none where fewer
-     * than [needed] can be spared.
-     */
-    public fun lend(needed: Long, wanted: Long, now: Moment): Long {
-        val spare = reservableTokens(now) / LENT_DIVISOR
-        if (spare < needed) return 0
-        val lent = minOf(spare, wanted)
+    /** Charges up to [wanted] tokens that another router receives, and answers how many. */
+    public fun lend(wanted: Long, now: Moment): Long {
+        val lent = minOf(reservableTokens(now) / LENT_DIVISOR, wanted).coerceAtLeast(0)
         usedTokens += lent
         return lent
     }
 
-    override fun charge(tokens: Long) {
+    /** Credits [tokens] that another router charged for this one. Use may fall below zero by that. */
+    public fun receive(tokens: Long) {
+        usedTokens -= tokens
+    }
+
+    /** Charges [tokens] of a reservation that were consumed. */
+    public fun charge(tokens: Long) {
         reservedTokens -= tokens
         usedTokens += tokens
     }
 
-    override fun release(tokens: Long) {
+    /** Gives up [tokens] of a reservation that were not consumed. */
+    public fun release(tokens: Long) {
         reservedTokens -= tokens
     }
 
@@ -112,11 +119,8 @@
         /** Covers the pause between two reports; what is left of it is lost with the process. */
         const val SLACK_SECONDS = 0.3
 
-        /** Lasts until the ceiling is lifted without the store. */
-        const val PLENTIFUL_SLACK_SECONDS = 2.5
-
-        /** About one request of the largest kind at twice its mean size. */
-        const val PLENTIFUL_SLACK_TOKENS = 25_000L
+        /** Covers the requests of the first second without an answer of the store. */
+        const val PLENTIFUL_SLACK_SECONDS = 1.0
 
         /** About one request of a short kind; larger ones wait for a report. */
         const val MINIMUM_SLACK_TOKENS = 2_500L
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -20,7 +20,17 @@
         }
     }
 
+    /** Tokens that one router may lose to the customer by its death beyond what recent demand accounts for. */
+    public val bearableLossTokens: Long
+        get() = (tokens * BEARABLE_LOSS_SHARE).toLong().coerceIn(0, MAXIMUM_BEARABLE_LOSS_TOKENS)
+
     private companion object {
+        /** Users accept that 3% of a budget cannot be used up; some routers may die together more than once. */
+        const val BEARABLE_LOSS_SHARE = 0.002
+
+        /** About two requests of the largest kind at their mean size. */
+        const val MAXIMUM_BEARABLE_LOSS_TOKENS = 20_000L
+
         /** A customer with this much left can lose a second of demand without noticing. */
         const val PLENTIFUL_SECONDS = 25.0
 
@@ -44,9 +54,13 @@
     val headroom: Double = DEFAULT_HEADROOM,
     val minimumTokens: Long = DEFAULT_MINIMUM_TOKENS,
 ) {
-    /** Tokens that [holding] should have available at [now]: the cover, or its part of what the customer has left. */
+    /**
+     * Tokens that [holding] should have available at [now]: the cover, or its part of what the customer has left. The
+     * last tokens are not divided ahead of use, since parts smaller than a request help none of the holders.
+     */
     public fun desiredTokens(holding: BudgetHolding, remainder: BudgetRemainder, now: Moment): Long {
         val demand = holding.demandPerSecond(now)
+        if (remainder.tokens < (demand + remainder.demandElsewherePerSecond) * UNDIVIDED_SECONDS) return 0
         val cover = demand * coverMilliseconds / MILLISECONDS_PER_SECOND * headroom
         val share = demand / (demand + remainder.demandElsewherePerSecond).coerceAtLeast(1.0)
         val part = remainder.tokens.coerceAtLeast(0) * share
@@ -95,6 +109,8 @@
         /** A few requests of the largest kind at their mean size, since a customer's demand at one router is uneven. */
         public const val DEFAULT_MINIMUM_TOKENS: Long = 50_000
 
+        /** Less demand than this is too little for parts that hold a request each. */
+        private const val UNDIVIDED_SECONDS = 2.0
         private const val MILLISECONDS_PER_SECOND = 1_000.0
 
         /** Asking at this share of the aim leaves time for the answer. */
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
@@ -11,8 +11,9 @@
  *
  * @property tokens charged and reserved tokens may reach this while the store is in reach
  * @property growthPerSecond tokens asked for per second when the ceiling was set, 0 where the ceiling must not grow
+ * @property releaseTokens tokens that a longer silence allows at once, for requests that waited for it
  */
-public data class SpendCeiling(val tokens: Long, val growthPerSecond: Long) {
+public data class SpendCeiling(val tokens: Long, val growthPerSecond: Long, val releaseTokens: Long) {
     /** The ceiling when the store last confirmed it [elapsedMilliseconds] ago. */
     public fun after(elapsedMilliseconds: Long): Long = when {
         elapsedMilliseconds < GRACE_MILLISECONDS -> tokens
@@ -20,7 +21,7 @@
         elapsedMilliseconds < RELEASE_MILLISECONDS ->
             tokens + grown(elapsedMilliseconds - GRACE_MILLISECONDS, CAUTIOUS_SHARE)
 
-        else -> tokens + RELEASED_TOKENS + grown(RELEASE_MILLISECONDS - GRACE_MILLISECONDS, CAUTIOUS_SHARE) +
+        else -> tokens + releaseTokens + grown(RELEASE_MILLISECONDS - GRACE_MILLISECONDS, CAUTIOUS_SHARE) +
             grown(elapsedMilliseconds - RELEASE_MILLISECONDS, RELEASED_SHARE)
     }
 
@@ -34,9 +35,6 @@
         /** An instance that lost power is mostly back before this, so that a longer silence means a lost store. */
         public const val RELEASE_MILLISECONDS: Long = 1_700
 
-        /** Tokens that a longer silence allows at once, for requests that waited for it. */
-        private const val RELEASED_TOKENS = 20_000L
-
         /** Part of the demand that is served before the release. */
         private const val CAUTIOUS_SHARE = 0.25
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/LoanClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/LoanClient.kt
@@ -11,7 +11,7 @@
 
 /** Borrows tokens from other routers. */
 internal fun interface TokenLender {
-    /** Tokens of [customer] that another router lent, 0 where none could: [neededTokens] or more. */
+    /** Tokens of [customer] that other routers lent together: [neededTokens] or a little more, or fewer. */
     suspend fun borrow(customer: CustomerId, neededTokens: Long): Long
 }
 
@@ -22,21 +22,26 @@
     private val peers: (CustomerId) -> List<InetSocketAddress>,
 ) : TokenLender {
     override suspend fun borrow(customer: CustomerId, neededTokens: Long): Long {
-        val request = LoanRequest(customer.value, neededTokens, neededTokens + SPARE_TOKENS)
-        val body = Json.encodeToString(LoanRequest.serializer(), request).encodeToByteArray()
+        var lent = 0L
         for (peer in peers(customer).take(MAXIMUM_PEERS)) {
-            val lent = tokensOf(caller.call(peer, HttpMethod.POST, "/loan", body, TIMEOUT_MILLISECONDS))
+            val lentByPeer = ask(peer, LoanRequest(customer.value, neededTokens - lent + SPARE_TOKENS))
+            lent += lentByPeer
             log.belief(
                 "budget",
                 "Asked another router for tokens.",
                 "customer" to customer.value,
                 "needed" to neededTokens,
                 "peer" to peer.toString(),
-                "lent" to lent,
+                "lent" to lentByPeer,
             )
-            if (lent > 0) return lent
+            if (lent >= neededTokens) break
         }
-        return 0
+        return lent
+    }
+
+    private suspend fun ask(peer: InetSocketAddress, request: LoanRequest): Long {
+        val body = Json.encodeToString(LoanRequest.serializer(), request).encodeToByteArray()
+        return tokensOf(caller.call(peer, HttpMethod.POST, "/loan", body, TIMEOUT_MILLISECONDS))
     }
 
     /** An answer that did not come or cannot be read lends nothing; what the peer charged for it stays unused. */
@@ -54,10 +59,10 @@
         /** Routers asked for one request. */
         const val MAXIMUM_PEERS = 5
 
-        /** A lender may ask the store first. */
-        const val TIMEOUT_MILLISECONDS = 250L
+        /** Many times the delay between data centres; a peer that is cut off must not hold up the request. */
+        const val TIMEOUT_MILLISECONDS = 60L
 
-        /** Borrowed beside the need, so that the next requests need no call. */
-        const val SPARE_TOKENS = 15_000L
+        /** Borrowed beside the need, so that the next short request needs no call. */
+        const val SPARE_TOKENS = 2_000L
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -5,13 +5,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.heatherwind.core.escrow.BorrowedTokens
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.escrow.BudgetHolding
 import org.heatherwind.core.escrow.BudgetRemainder
 import org.heatherwind.core.escrow.GrantPolicy
 import org.heatherwind.core.escrow.HolderCharge
-import org.heatherwind.core.escrow.TokenSource
 import org.heatherwind.core.fleet.Customer
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
@@ -51,38 +49,35 @@
 ) : ReportedBudgets {
     private val accounts = HashMap<CustomerId, Account>()
 
-    /** Reserves [tokens] for [customer], and waits for a grant until [until] where this router holds too little. */
+    /** Reserves [tokens] for [customer], and waits for more until [until] where this router holds too little. */
     suspend fun reserve(customer: Customer, tokens: Long, until: Moment): BudgetDecision {
         val prepaid = customer.prepaidTokens ?: return BudgetDecision.Reserved(BudgetReservation(null, 0))
         val account = accountOf(customer.id)
         account.holding.recordDemand(tokens, clock.now())
-        val source = sourceAtOnce(account, tokens) ?: sourceWithWait(account, tokens, until)
-        if (source == null) return refuse(account, prepaid, tokens)
-        return BudgetDecision.Reserved(BudgetReservation(source, tokens))
+        if (!reserveAtOnce(account, tokens) && !reserveWithin(account, tokens, until)) {
+            return refuse(account, prepaid, tokens)
+        }
+        return BudgetDecision.Reserved(BudgetReservation(account.holding, tokens))
     }
 
-    private fun sourceAtOnce(account: Account, tokens: Long): TokenSource? {
+    private fun reserveAtOnce(account: Account, tokens: Long): Boolean {
         val now = clock.now()
-        if (!account.holding.tryReserve(tokens, now)) return account.borrowed.takeIf { it.tryReserve(tokens) }
+        if (!account.holding.tryReserve(tokens, now)) return false
         if (policy.isRefillDue(account.holding, remainderOf(account), now)) refill(account, neededTokens = 0)
         if (account.holding.isCeilingLow(now)) reports.wantPublished()
-        return account.holding
+        return true
     }
 
-    private suspend fun sourceWithWait(account: Account, tokens: Long, until: Moment): TokenSource? {
+    private suspend fun reserveWithin(account: Account, tokens: Long, until: Moment): Boolean {
         val wait = until.millisecondsSince(clock.now()).coerceAtLeast(1)
-        val isReserved = withTimeoutOrNull(wait) { reserveWithMore(account, tokens) } ?: false
-        return when {
-            isReserved -> account.holding
-            reports.isStoreLost() && borrow(account, tokens) -> account.borrowed
-            else -> null
-        }
+        return withTimeoutOrNull(wait) { reserveWithMore(account, tokens) } ?: false
     }
 
     /** Says "exhausted" only where what was certainly charged leaves too little. */
     private fun refuse(account: Account, prepaid: Long, tokens: Long): BudgetDecision {
-        val charged = reports.usedElsewhere(account.id) + account.holding.usedTokens +
-            ledgers.of(account.id).allocationOf(account.id).certainClosedTokens
+        val allocation = allocationOf(account)
+        val charged = reports.usedElsewhere(account.id, allocation) + account.holding.usedTokens +
+            allocation.certainClosedTokens
         val isShort = account.isStoreCurrent && prepaid - charged < tokens
         log.belief(
             "budget",
@@ -99,36 +94,28 @@
         return if (isShort) BudgetDecision.Exhausted else BudgetDecision.Undivided
     }
 
-    /** Lends tokens of a customer to another router that cannot reach the store. */
-    suspend fun lend(request: LoanRequest): Long {
+    /** Lends tokens of a customer to another router that asked for them, as many of those wanted as can be spared. */
+    fun lend(request: LoanRequest): Long {
         val customer = CustomerId(request.customer)
         if (customerOf(customer) == null) return 0
         val account = accountOf(customer)
-        val lent = lendFromStore(account, request.wantedTokens)
-            ?: account.holding.lend(request.neededTokens, request.wantedTokens, clock.now())
+        val lent = account.holding.lend(request.wantedTokens, clock.now())
         log.belief("budget", "Another router asked for tokens.", "customer" to request.customer, "lent" to lent)
         return lent
     }
 
-    /** Lends [tokens] that a larger grant covers, or answers null where the store is out of reach or has none left. */
-    private suspend fun lendFromStore(account: Account, tokens: Long): Long? {
-        if (reports.isStoreLost()) return null
-        val isReserved = account.holding.tryReserve(tokens, clock.now()) ||
-            withTimeoutOrNull(LEND_PATIENCE_MILLISECONDS) { reserveWithMore(account, tokens) } == true
-        if (!isReserved) return null
-        account.holding.charge(tokens)
-        return tokens
-    }
-
     private fun accountOf(customer: CustomerId): Account =
         accounts.getOrPut(customer) { Account(customer, BudgetHolding(clock.now())) }
 
+    /** Asks other routers for what is missing of [tokens]. Answers whether any tokens came. */
     private suspend fun borrow(account: Account, tokens: Long): Boolean {
         if (clock.now() < account.nextBorrowing) return false
-        val lent = lender.borrow(account.id, tokens)
-        if (lent == 0L) account.nextBorrowing = clock.now().plusMilliseconds(BORROW_PAUSE_MILLISECONDS)
-        account.borrowed.add(lent)
-        return account.borrowed.tryReserve(tokens)
+        account.nextBorrowing = clock.now().plusMilliseconds(BORROW_PAUSE_MILLISECONDS)
+        val missing = tokens - account.holding.reservableTokens(clock.now())
+        val lent = lender.borrow(account.id, missing)
+        account.holding.receive(lent)
+        if (lent >= missing) account.nextBorrowing = Moment.distantPast
+        return lent > 0
     }
 
     /** Reserves [tokens] after the grant or the ceiling was raised; false when no more tokens are free. */
@@ -149,19 +136,25 @@
     private suspend fun awaitGrant(account: Account, tokens: Long): Boolean = when (refill(account, tokens).await()) {
         GrantChange.DONE -> true
 
-        GrantChange.SHORT -> {
-            delay(SHORT_PAUSE_MILLISECONDS)
-            uncommittedTokens(account) >= tokens
-        }
+        GrantChange.SHORT -> borrow(account, tokens) || awaitReturns(account, tokens)
 
         GrantChange.FAILED -> {
-            delay(RETRY_PAUSE_MILLISECONDS)
-            !reports.isStoreLost()
+            val isLent = borrow(account, tokens)
+            if (!isLent) delay(RETRY_PAUSE_MILLISECONDS)
+            isLent || !reports.isStoreLost()
         }
     }
 
+    /** Waits for tokens that others give back. Answers whether there are enough that no router has promised. */
+    private suspend fun awaitReturns(account: Account, tokens: Long): Boolean {
+        if (uncommittedTokens(account) < tokens) return false
+        delay(SHORT_PAUSE_MILLISECONDS)
+        return true
+    }
+
     private suspend fun awaitCeiling(account: Account, tokens: Long) {
         account.neededTokens = maxOf(account.neededTokens, tokens)
+        if (reports.isStoreSilent() && borrow(account, tokens)) return
         withTimeoutOrNull(CEILING_PAUSE_MILLISECONDS) { reports.publishSoon() }
     }
 
@@ -169,13 +162,13 @@
         val now = clock.now()
         return accounts.mapValues { (_, account) ->
             val demand = account.holding.demandPerSecond(now)
-            val abundance = remainderOf(account).abundance(demand)
-            val ceiling = account.holding.nextCeiling(now, account.neededTokens, abundance)
+            val ceiling = account.holding.nextCeiling(now, account.neededTokens, remainderOf(account))
             account.neededTokens = 0
             BudgetReport(
                 usedTokens = account.holding.usedTokens,
                 ceilingTokens = ceiling.tokens,
                 growthPerSecond = ceiling.growthPerSecond,
+                releaseTokens = ceiling.releaseTokens,
                 availableTokens = account.holding.availableTokens,
                 demandPerSecond = demand.toLong(),
             )
@@ -193,7 +186,7 @@
             val remainder = remainderOf(account)
             val isDue = policy.isReturnDue(account.holding, remainder, now) ||
                 policy.isRefillDue(account.holding, remainder, now)
-            if (isDue && account.holding.grantedTokens > 0 && !account.isClosing) refill(account, neededTokens = 0)
+            if (isDue && account.holding.availableTokens != 0L && !account.isClosing) refill(account, neededTokens = 0)
         }
     }
 
@@ -223,18 +216,23 @@
 
     private suspend fun changeGrant(account: Account, neededTokens: Long): GrantChange {
         val ledger = ledgers.of(account.id)
+        var isFresh = false
         repeat(BudgetLedgers.MAXIMUM_CONFLICTS) {
-            if (!ledger.isCurrent && !ledger.refresh()) {
-                account.isStoreCurrent = false
-                return GrantChange.FAILED
+            if (!ledger.isCurrent) {
+                isFresh = ledger.refresh()
+                account.isStoreCurrent = isFresh
+                if (!isFresh) return GrantChange.FAILED
             }
-            account.isStoreCurrent = true
             val allocation = ledger.allocationOf(account.id)
             val before = allocation.grantOf(self)
             account.holding.setGranted(minOf(before, account.certainTokens))
             val after = aim(account, allocation, neededTokens)
             val isUncertain = account.certainTokens < before
-            if (after == before && !isUncertain) return GrantChange.SHORT
+            if (after == before && !isUncertain) {
+                if (isFresh || !isReadDue(account, neededTokens)) return GrantChange.SHORT
+                ledger.distrust()
+                return@repeat
+            }
             if (after < before) account.holding.setGranted(after)
             val changed = if (account.isClosing) {
                 allocation.closing(self, HolderCharge.exactly(account.holding.committedTokens))
@@ -260,6 +258,14 @@
         return GrantChange.FAILED
     }
 
+    /** Whether a copy that shows nothing free should be read anew, since others may have given back tokens. */
+    private fun isReadDue(account: Account, neededTokens: Long): Boolean {
+        val now = clock.now()
+        if (neededTokens == 0L && now < account.nextReading) return false
+        account.nextReading = now.plusMilliseconds(READ_PAUSE_MILLISECONDS)
+        return true
+    }
+
     /** Keeps to [tokens] until a change is confirmed, since the one that got no answer may take effect later. */
     private fun distrust(account: Account, tokens: Long) {
         account.certainTokens = minOf(account.certainTokens, tokens)
@@ -288,20 +294,22 @@
 
     /** Tokens that no router has promised to a request; the rest of the grants may come back. */
     private fun uncommittedTokens(account: Account): Long =
-        tokensBesideClosed(account) - reports.committedElsewhere(account.id)
+        tokensBesideClosed(account) - reports.committedElsewhere(account.id, allocationOf(account))
 
     /** What the customer has left, by the last read of its allocation and the last reports of use. */
     private fun remainderOf(account: Account) = BudgetRemainder(
-        tokens = tokensBesideClosed(account) - reports.usedElsewhere(account.id),
+        tokens = tokensBesideClosed(account) - reports.usedElsewhere(account.id, allocationOf(account)),
         demandElsewherePerSecond = reports.demandElsewhere(account.id),
     )
 
     /** Prepaid tokens without what closed grants were charged and what this router committed. */
     private fun tokensBesideClosed(account: Account): Long {
         val prepaid = customerOf(account.id)?.prepaidTokens ?: 0
-        return prepaid - ledgers.of(account.id).allocationOf(account.id).closedTokens - account.holding.committedTokens
+        return prepaid - allocationOf(account).closedTokens - account.holding.committedTokens
     }
 
+    private fun allocationOf(account: Account): BudgetAllocation = ledgers.of(account.id).allocationOf(account.id)
+
     private fun logChange(account: Account, before: Long, after: Long, allocation: BudgetAllocation): Unit = log.belief(
         "budget",
         "A grant changed.",
@@ -314,8 +322,10 @@
 
     private class Account(val id: CustomerId, val holding: BudgetHolding) {
         var change: CompletableDeferred<GrantChange>? = null
-        val borrowed = BorrowedTokens()
         var nextBorrowing = Moment.distantPast
+
+        /** When a refill ahead of need may read the store for tokens that others gave back. */
+        var nextReading = Moment.distantPast
         var isClosing = false
 
         /** The largest request that waits for a higher ceiling. */
@@ -335,11 +345,11 @@
         /** While reports get no answer, the ceiling grows with time, so it is looked at this often. */
         const val CEILING_PAUSE_MILLISECONDS = 50L
 
-        /** A change of a grant takes some tens of milliseconds. */
-        const val LEND_PATIENCE_MILLISECONDS = 150L
+        /** Twice the time in which others notice what they need not hold. */
+        const val READ_PAUSE_MILLISECONDS = 500L
 
-        /** Routers that had nothing to spare are asked again after this. */
-        const val BORROW_PAUSE_MILLISECONDS = 300L
+        /** Routers that had too little to spare are asked again after this. */
+        const val BORROW_PAUSE_MILLISECONDS = 100L
 
         /** Pause after the store turned a change away. */
         const val RETRY_PAUSE_MILLISECONDS = 60L
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetReservation.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetReservation.kt
@@ -1,19 +1,19 @@
 package org.heatherwind.gateway.state
 
-import org.heatherwind.core.escrow.TokenSource
+import org.heatherwind.core.escrow.BudgetHolding
 
-/** The worst case of one open request, charged as it is consumed. [source] is null where nothing is prepaid. */
-internal class BudgetReservation(private val source: TokenSource?, private var openTokens: Long) {
+/** The worst case of one open request, charged as it is consumed. [holding] is null where nothing is prepaid. */
+internal class BudgetReservation(private val holding: BudgetHolding?, private var openTokens: Long) {
     /** Charges [tokens], at most what is still open. */
     fun charge(tokens: Long) {
         val charged = tokens.coerceIn(0, openTokens)
         openTokens -= charged
-        source?.charge(charged)
+        holding?.charge(charged)
     }
 
     /** Gives up what was not charged. */
     fun end() {
-        source?.release(openTokens)
+        holding?.release(openTokens)
         openTokens = 0
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -53,6 +53,11 @@
         return isCurrent
     }
 
+    /** Has the next change read the partition first. */
+    fun distrust() {
+        isCurrent = false
+    }
+
     /** All allocations as last read. */
     fun all(): Map<CustomerId, BudgetAllocation> = allocations.toMap()
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorGrants.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorGrants.kt
@@ -1,5 +1,8 @@
 package org.heatherwind.gateway.state
 
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.escrow.HolderCharge
@@ -19,7 +22,8 @@
     suspend fun closeAll() {
         var isDone = false
         while (!isDone) {
-            isDone = (0 until ledgers.partitions).map { close(ledgers.at(it)) }.all { it }
+            isDone = coroutineScope { (0 until ledgers.partitions).map { async { close(ledgers.at(it)) } }.awaitAll() }
+                .all { it }
             if (!isDone) delay(RETRY_PAUSE_MILLISECONDS)
         }
         reports.predecessors = emptyMap()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -29,18 +29,25 @@
 )
 
 /**
- * A router's word on one budget: tokens charged, the ceiling until its next word, tokens granted and unused, and tokens
- * asked for per second.
+ * A router's word on one budget.
+ *
+ * @property usedTokens tokens charged, less those received from other routers
+ * @property ceilingTokens how far it may charge until its next word
+ * @property growthPerSecond by how much the ceiling grows while the store is silent
+ * @property releaseTokens by how much the ceiling rises once after a long silence
+ * @property availableTokens tokens granted and not committed
+ * @property demandPerSecond tokens asked for per second
  */
 @Serializable
 internal data class BudgetReport(
     val usedTokens: Long,
     val ceilingTokens: Long,
     val growthPerSecond: Long,
+    val releaseTokens: Long,
     val availableTokens: Long,
     val demandPerSecond: Long,
 ) {
-    val ceiling: SpendCeiling get() = SpendCeiling(ceilingTokens, growthPerSecond)
+    val ceiling: SpendCeiling get() = SpendCeiling(ceilingTokens, growthPerSecond, releaseTokens)
 }
 
 /** A router's word on what an earlier process charged. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.escrow.HolderCharge
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
@@ -76,15 +77,17 @@
         return others + 1
     }
 
-    /** Tokens of [customer] charged by the present processes of other instances, as last reported. */
-    fun usedElsewhere(customer: CustomerId): Long = latest.values.sumOf { known ->
-        if (known.report.incarnation == self.value) 0 else known.report.budgets[customer.value]?.usedTokens ?: 0
-    }
+    /** Tokens of [customer] charged by other holders of grants in [allocation], as last reported. */
+    fun usedElsewhere(customer: CustomerId, allocation: BudgetAllocation): Long =
+        holdersElsewhere(allocation).sumOf { it.budgets[customer.value]?.usedTokens ?: 0 }
 
-    /** Tokens of [customer] that other routers charged or may charge before their next report. */
-    fun committedElsewhere(customer: CustomerId): Long = latest.values.sumOf { known ->
-        if (known.report.incarnation == self.value) 0 else known.report.budgets[customer.value]?.ceilingTokens ?: 0
-    }
+    /** Tokens of [customer] that other holders charged or may charge before their next report. */
+    fun committedElsewhere(customer: CustomerId, allocation: BudgetAllocation): Long =
+        holdersElsewhere(allocation).sumOf { it.budgets[customer.value]?.ceilingTokens ?: 0 }
+
+    /** Reports of other holders. What a closed grant was charged stands in the allocation already. */
+    private fun holdersElsewhere(allocation: BudgetAllocation): List<RouterReport> = latest.values.map { it.report }
+        .filter { it.incarnation != self.value && Incarnation(it.incarnation) in allocation.grants }
 
     /** Tokens of [customer] asked for per second at other routers, as last reported. */
     fun demandElsewhere(customer: CustomerId): Double = latest.values.sumOf { known ->
@@ -101,6 +104,9 @@
     private fun addressOf(text: String): InetSocketAddress? =
         text.substringAfterLast(':').toIntOrNull()?.let { InetSocketAddress(text.substringBeforeLast(':'), it) }
 
+    /** Whether the store confirmed nothing for longer than usual, so that other routers are the faster way to tokens. */
+    fun isStoreSilent(): Boolean = clock.now().millisecondsSince(confirmedAt) > SILENT_MILLISECONDS
+
     /** Whether the store confirmed nothing for so long that waiting for it does not help an open request. */
     fun isStoreLost(): Boolean = clock.now().millisecondsSince(confirmedAt) > LOST_MILLISECONDS
 
@@ -275,6 +281,9 @@
         /** Keeps the appends of a large fleet to about a hundred a second. */
         private const val INTERVAL_PER_ROUTER_MILLISECONDS = 10L
 
+        /** One report without an answer, with time for the next. */
+        private const val SILENT_MILLISECONDS = 450L
+
         /** Several reports without an answer. */
         private const val LOST_MILLISECONDS = 1_200L
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
@@ -9,20 +9,9 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestScope
-import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
-import org.heatherwind.core.escrow.GrantPolicy
 import org.heatherwind.core.fleet.Customer
 import org.heatherwind.core.identity.CustomerId
-import org.heatherwind.core.identity.Incarnation
-import org.heatherwind.core.identity.InstanceId
-import org.heatherwind.core.identity.Moment
-import org.heatherwind.core.identity.SteadyClock
-import org.heatherwind.core.identity.Timestamp
-import org.heatherwind.gateway.peer.LoanRequest
-import org.heatherwind.gateway.store.StreamPartition
-import org.heatherwind.gateway.telemetry.DecisionLog
-import org.heatherwind.gateway.telemetry.GatewayMetrics
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.random.Random
@@ -65,28 +54,28 @@
         val routers = List(ROUTERS) { index ->
             HistoryRouter("router-$index", this, records, truth, Random(random.nextInt()), case.faultShare)
         }
-        routers.forEach { router -> router.peers = routers - router }
+        routers.forEach { one -> one.router.peers = (routers - one).map { it.router } }
         routers.forEach { it.start() }
         if (case.isCut) {
             world.launch {
                 repeat(2) {
                     delay(random.nextLong(6_000, 12_000))
-                    routers.forEach { it.setCut(true) }
+                    routers.forEach { it.router.setCut(true) }
                     delay(random.nextLong(2_000, 8_000))
-                    routers.forEach { it.setCut(false) }
+                    routers.forEach { it.router.setCut(false) }
                 }
             }
         }
         world.launch {
             repeat(case.kills) {
                 delay(random.nextLong(8_000, 14_000))
-                routers.forEach { it.kill() }
+                routers.forEach { it.router.kill() }
                 delay(random.nextLong(600, 2_000))
                 routers.forEach { it.start() }
             }
         }
         delay(HISTORY_MILLISECONDS)
-        routers.forEach { it.kill() }
+        routers.forEach { it.router.kill() }
         world.cancel()
         val served = truth.delivered.toDouble() / PREPAID
         assertTrue(truth.delivered <= PREPAID, "seed $seed: ${truth.delivered} of $PREPAID tokens delivered")
@@ -99,84 +88,21 @@
     }
 
     private class HistoryRouter(
-        private val name: String,
-        private val test: TestScope,
-        private val records: MemoryRecords,
+        name: String,
+        test: TestScope,
+        records: MemoryRecords,
         private val truth: Truth,
         private val random: Random,
-        private val faultShare: Double,
+        faultShare: Double,
     ) {
-        private val clock = SteadyClock { Moment(test.currentTime) }
-        private var scope: CoroutineScope? = null
-        private var store: MemoryRecordStore? = null
-        private var budgets: BudgetKeeper? = null
-
-        /** Routers that this one may borrow from. */
-        var peers: List<HistoryRouter> = emptyList()
-        private var isCut = false
-
-        fun setCut(cut: Boolean) {
-            isCut = cut
-            store?.isCut = cut
-        }
-
-        fun kill() {
-            scope?.cancel()
-            scope = null
-            budgets = null
-        }
+        val router = BudgetRouter(name, test, records, customer, random, faultShare)
 
         fun start() {
-            if (scope != null) return
-            val life = CoroutineScope(Job() + StandardTestDispatcher(test.testScheduler))
-            val startedAt = Timestamp(EPOCH + test.currentTime)
-            val self = Incarnation.of(InstanceId(name), startedAt)
-            val own = MemoryRecordStore(records, random, test.backgroundScope, faultShare)
-            own.isCut = isCut
-            val log = DecisionLog(clock, GatewayMetrics())
-            val reports =
-                RouterReports(self, own, clock, log, startedAt, {
-                    Timestamp(EPOCH + test.currentTime)
-                }, { false }, null)
-            val ledgers = BudgetLedgers(own, partitions = 2)
-            val budgets = BudgetKeeper(
-                self = self,
-                ledgers = ledgers,
-                scope = life,
-                clock = clock,
-                log = log,
-                policy = GrantPolicy(),
-                customerOf = { customer },
-                reports = reports,
-                lender = { customer, needed -> borrow(customer, needed) },
-            )
-            this.budgets = budgets
-            reports.budgets = budgets
-            scope = life
-            store = own
-            life.launch {
-                reports.run(onEstablished = {
-                    life.launch { PredecessorGrants(self, ledgers, reports, log).closeAll() }
-                })
-            }
-            val follower = StreamFollower(own, StreamPartition("routers"), FollowPace(0, 500), clock, log, reports)
-            life.launch { follower.run() }
-            life.launch {
-                while (true) {
-                    delay(250)
-                    budgets.tend()
-                }
-            }
+            val life = router.start() ?: return
+            val budgets = router.budgets ?: return
             life.launch { callers(life, budgets) }
         }
 
-        private suspend fun borrow(customer: CustomerId, needed: Long): Long {
-            delay(random.nextLong(1, 5))
-            val lent = peers.shuffled(random).firstNotNullOfOrNull { it.budgets } ?: return 0
-            val tokens = lent.lend(LoanRequest(customer.value, needed, needed * 2))
-            return if (random.nextDouble() < faultShare) 0 else tokens
-        }
-
         private suspend fun callers(life: CoroutineScope, budgets: BudgetKeeper) {
             while (true) {
                 delay(random.nextLong(20, 180))
@@ -187,7 +113,7 @@
         private suspend fun request(budgets: BudgetKeeper) {
             val prompt = random.nextLong(200, 6_000)
             val output = random.nextLong(50, 400)
-            val until = clock.now().plusMilliseconds(1_500)
+            val until = router.clock.now().plusMilliseconds(1_500)
             val decision = budgets.reserve(customer, prompt + output, until) as? BudgetDecision.Reserved ?: return
             truth.delivered += prompt
             delay(random.nextLong(20, 200))
@@ -205,7 +131,6 @@
         const val ROUTERS = 4
         const val PREPAID = 3_000_000L
         const val HISTORY_MILLISECONDS = 60_000L
-        const val EPOCH = 1_700_000_000_000L
         val customer = Customer(CustomerId("studio"), persistentListOf("key"), priority = null, prepaidTokens = PREPAID)
     }
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
@@ -0,0 +1,115 @@
+package org.heatherwind.gateway.state
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import org.heatherwind.core.escrow.GrantPolicy
+import org.heatherwind.core.fleet.Customer
+import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.InstanceId
+import org.heatherwind.core.identity.Moment
+import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.gateway.peer.LoanRequest
+import org.heatherwind.gateway.store.StreamPartition
+import org.heatherwind.gateway.telemetry.DecisionLog
+import org.heatherwind.gateway.telemetry.GatewayMetrics
+import kotlin.random.Random
+
+/** The part of a router that keeps budgets, under virtual time, with one customer. It can be killed and started again. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class BudgetRouter(
+    private val name: String,
+    private val test: TestScope,
+    private val records: MemoryRecords,
+    private val customer: Customer,
+    private val random: Random,
+    private val faultShare: Double = 0.0,
+) {
+    val clock = SteadyClock { Moment(test.currentTime) }
+    private var scope: CoroutineScope? = null
+    private var store: MemoryRecordStore? = null
+    private var isCut = false
+
+    /** The budgets of the process that runs, or null where none does. */
+    var budgets: BudgetKeeper? = null
+        private set
+
+    /** Routers that this one may borrow from. */
+    var peers: List<BudgetRouter> = emptyList()
+
+    fun setCut(cut: Boolean) {
+        isCut = cut
+        store?.isCut = cut
+    }
+
+    fun kill() {
+        scope?.cancel()
+        scope = null
+        budgets = null
+    }
+
+    /** Starts a process and answers where its tasks run, or null where one runs already. */
+    fun start(): CoroutineScope? {
+        if (scope != null) return null
+        val life = CoroutineScope(Job() + StandardTestDispatcher(test.testScheduler))
+        val startedAt = timeOfDay()
+        val self = Incarnation.of(InstanceId(name), startedAt)
+        val own = MemoryRecordStore(records, random, test.backgroundScope, faultShare)
+        own.isCut = isCut
+        val log = DecisionLog(clock, GatewayMetrics())
+        val reports = RouterReports(self, own, clock, log, startedAt, ::timeOfDay, { false }, null)
+        val ledgers = BudgetLedgers(own, PARTITIONS)
+        val keeper = BudgetKeeper(
+            self = self,
+            ledgers = ledgers,
+            scope = life,
+            clock = clock,
+            log = log,
+            policy = GrantPolicy(),
+            customerOf = { customer },
+            reports = reports,
+            lender = { customer, needed -> borrow(customer, needed) },
+        )
+        budgets = keeper
+        reports.budgets = keeper
+        scope = life
+        store = own
+        life.launch {
+            reports.run(onEstablished = {
+                life.launch { PredecessorGrants(self, ledgers, reports, log).closeAll() }
+            })
+        }
+        val follower = StreamFollower(own, StreamPartition("routers"), FollowPace(0, 500), clock, log, reports)
+        life.launch { follower.run() }
+        life.launch {
+            while (true) {
+                delay(TEND_MILLISECONDS)
+                keeper.tend()
+            }
+        }
+        return life
+    }
+
+    private fun timeOfDay() = Timestamp(EPOCH + test.currentTime)
+
+    private suspend fun borrow(customer: CustomerId, needed: Long): Long {
+        delay(random.nextLong(1, 5))
+        val lender = peers.shuffled(random).firstNotNullOfOrNull { it.budgets } ?: return 0
+        val tokens = lender.lend(LoanRequest(customer.value, needed * 2))
+        return if (random.nextDouble() < faultShare) 0 else tokens
+    }
+
+    private companion object {
+        const val EPOCH = 1_700_000_000_000L
+        const val PARTITIONS = 2
+        const val TEND_MILLISECONDS = 250L
+    }
+}
