Divide retries by the live routers, announce long prompts to other routers, and change grants less often

Change: grants go back only where little is free; each router holds tokens of a customer before its first request; reports are compact and read as newest records in large fleets; long prompts are announced by datagram, with the parts that they share; the time to read a prompt counts its square. Tests: RetryAllowanceTest (divided base), PlacementPolicyTest (announced prompts).

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -116,8 +116,8 @@
         /** Half of what a router could use itself may go to another. */
         const val LENT_DIVISOR = 2
 
-        /** Covers the pause between two reports; what is left of it is lost with the process. */
-        const val SLACK_SECONDS = 0.3
+        /** Several times the time that a report takes when it is asked for; the rest is lost with the process. */
+        const val SLACK_SECONDS = 0.15
 
         /** Covers the requests of the first second without an answer of the store. */
         const val PLENTIFUL_SLACK_SECONDS = 1.0
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -20,11 +20,18 @@
         }
     }
 
+    /** Whether parts of the tokens would be smaller than a request, with [demandPerSecond] at this router. */
+    public fun isTooSmallToDivide(demandPerSecond: Double): Boolean =
+        tokens < (demandPerSecond + demandElsewherePerSecond) * UNDIVIDED_SECONDS
+
     /** Tokens that one router may lose to the customer by its death beyond what recent demand accounts for. */
     public val bearableLossTokens: Long
         get() = (tokens * BEARABLE_LOSS_SHARE).toLong().coerceIn(0, MAXIMUM_BEARABLE_LOSS_TOKENS)
 
     private companion object {
+        /** Less demand than this is too little for parts that hold a request each. */
+        const val UNDIVIDED_SECONDS = 2.0
+
         /** Users accept that 3% of a budget cannot be used up; some routers may die together more than once. */
         const val BEARABLE_LOSS_SHARE = 0.002
 
@@ -60,7 +67,7 @@
      */
     public fun desiredTokens(holding: BudgetHolding, remainder: BudgetRemainder, now: Moment): Long {
         val demand = holding.demandPerSecond(now)
-        if (remainder.tokens < (demand + remainder.demandElsewherePerSecond) * UNDIVIDED_SECONDS) return 0
+        if (remainder.isTooSmallToDivide(demand)) return 0
         val cover = demand * coverMilliseconds / MILLISECONDS_PER_SECOND * headroom
         val share = demand / (demand + remainder.demandElsewherePerSecond).coerceAtLeast(1.0)
         val part = remainder.tokens.coerceAtLeast(0) * share
@@ -71,9 +78,24 @@
     public fun isRefillDue(holding: BudgetHolding, remainder: BudgetRemainder, now: Moment): Boolean =
         holding.availableTokens < desiredTokens(holding, remainder, now) * REFILL_SHARE
 
-    /** Whether [holding] has so much more than it needs that the rest should go back. */
-    public fun isReturnDue(holding: BudgetHolding, remainder: BudgetRemainder, now: Moment): Boolean =
-        holding.availableTokens > desiredTokens(holding, remainder, now) * RETURN_SHARE
+    /**
+     * Whether [holding] has so much more than it needs that the rest should go back. While [freeTokens] of the budget are
+     * ample, nobody needs the rest, and the change is left out.
+     */
+    public fun isReturnDue(
+        holding: BudgetHolding,
+        remainder: BudgetRemainder,
+        freeTokens: Long,
+        now: Moment,
+    ): Boolean {
+        val isAmple = freeTokens > remainder.tokens * AMPLE_FREE_SHARE
+        if (isAmple && !remainder.isTooSmallToDivide(holding.demandPerSecond(now))) return false
+        return holding.availableTokens > desiredTokens(holding, remainder, now) * RETURN_SHARE
+    }
+
+    /** Tokens that a router asks for before its first request of a customer, so that the request need not wait. */
+    public fun primingTokens(prepaidTokens: Long, holders: Int): Long =
+        minOf((prepaidTokens * PRIMED_SHARE / holders.coerceAtLeast(1)).toLong(), minimumTokens)
 
     /**
      * The grant that [holder] should have in all, given the store's [allocation] and [prepaidTokens]. It never raises
@@ -109,12 +131,16 @@
         /** A few requests of the largest kind at their mean size, since a customer's demand at one router is uneven. */
         public const val DEFAULT_MINIMUM_TOKENS: Long = 50_000
 
-        /** Less demand than this is too little for parts that hold a request each. */
-        private const val UNDIVIDED_SECONDS = 2.0
         private const val MILLISECONDS_PER_SECOND = 1_000.0
 
-        /** Asking at this share of the aim leaves time for the answer. */
-        private const val REFILL_SHARE = 0.75
+        /** Asking at this share of the aim leaves seconds for the answer, and keeps changes rare. */
+        private const val REFILL_SHARE = 0.5
+
+        /** With this share of what is left unallocated, a router in need finds tokens in the store. */
+        private const val AMPLE_FREE_SHARE = 0.15
+
+        /** The share of a budget that is divided before there is any demand. */
+        private const val PRIMED_SHARE = 0.3
 
         /** Returning only well above the aim keeps grants from going back and forth. */
         private const val RETURN_SHARE = 1.4
--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -10,11 +10,13 @@
  * Where a request goes.
  *
  * @property unreadTokens prompt tokens that the target probably has to read
+ * @property readingMilliseconds time that reading them takes
  * @property expectedMilliseconds predicted time to the first event
  */
 public class Placement(
     public val target: TargetLoad,
     public val unreadTokens: Long,
+    public val readingMilliseconds: Double,
     public val expectedMilliseconds: Double,
 )
 
@@ -60,23 +62,24 @@
         for (load in candidates) {
             val kept = if (load === preferred) maxOf(shared, load.keptTokens(tokens)) else load.keptTokens(tokens)
             val unread = (tokens.prompt - kept).coerceAtLeast(0)
-            val expected = expectedMilliseconds(load, engine, unread, now)
+            val reading = ReadingTime.millisecondsOf(unread, tokens.prompt)
+            val expected = expectedMilliseconds(load, engine, reading, now)
             val reread = (shared - kept).coerceAtLeast(0) * REREAD_MILLISECONDS_PER_TOKEN
             val misfit = if (load.hasMemoryFor(tokens, engine)) 0.0 else MISFIT_MILLISECONDS
             val cost = expected * load.paceFactor(now) + reread + misfit +
                 load.overdueMilliseconds(now) + load.score(now) * FAILURE_MILLISECONDS
             if (cost < bestCost) {
                 bestCost = cost
-                best = Placement(load, unread, expected)
+                best = Placement(load, unread, reading, expected)
             }
         }
         return best
     }
 
-    private fun expectedMilliseconds(load: TargetLoad, engine: EngineProfile, unread: Long, now: Moment): Double {
+    private fun expectedMilliseconds(load: TargetLoad, engine: EngineProfile, reading: Double, now: Moment): Double {
         val busy = load.openRequests + load.foreignRequests(now)
         val excess = (busy - engine.slots).coerceAtLeast(0.0)
-        return (load.unreadTokens + unread) / READ_TOKENS_PER_MILLISECOND +
+        return load.backlogMilliseconds(now) + reading +
             busy * RUNNING_MILLISECONDS +
             (load.waitingRequests(now) + excess) * WAITING_MILLISECONDS
     }
@@ -87,15 +90,17 @@
             busy / load.entry.slots.coerceAtLeast(1) + load.waitingRequests(now) + load.score(now) +
                 load.overdueMilliseconds(now) / PLAIN_OVERDUE_MILLISECONDS
         } ?: return null
-        return Placement(target, unreadTokens = 0, expectedMilliseconds = PLAIN_OVERDUE_MILLISECONDS)
+        return Placement(
+            target,
+            unreadTokens = 0,
+            readingMilliseconds = 0.0,
+            expectedMilliseconds = PLAIN_OVERDUE_MILLISECONDS,
+        )
     }
 
     /** The last part that other requests share; the request's own last part is never shared. */
     private fun affinityKeyOf(tokens: TokenDemand): String? = tokens.parts.getOrNull(tokens.parts.size - 2)?.key
 
-    /** Prompt tokens that an engine of the users reads in a millisecond beside its other work; sheets: 62 to 101. */
-    private const val READ_TOKENS_PER_MILLISECOND = 70.0
-
     /** A running request adds to the time of each step. */
     private const val RUNNING_MILLISECONDS = 4.0
     private const val WAITING_MILLISECONDS = 60.0
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -3,6 +3,7 @@
 import org.heatherwind.core.fleet.EngineProfile
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.target.TargetEntry
+import org.heatherwind.core.work.PromptPart
 import org.heatherwind.core.work.TokenDemand
 
 /** What this router knows of one target's load and health. Confined to one thread. */
@@ -15,9 +16,9 @@
     public var openRequests: Int = 0
         private set
 
-    /** Prompt tokens of this router's requests that have no first event yet. */
-    public var unreadTokens: Long = 0
-        private set
+    private var unreadMilliseconds = 0.0
+    private var announcedMilliseconds = 0.0
+    private var announcedAt = Moment.distantPast
 
     /** Tokens that this router's requests may occupy in the target's memory. */
     public var occupiedTokens: Long = 0
@@ -41,28 +42,45 @@
     /** Prompt tokens that the target need not read again, as far as this router's own sends tell. */
     public fun keptTokens(tokens: TokenDemand): Long = prefixes.keptTokens(tokens.parts)
 
-    /** Notes that a request was sent of whose prompt [unreadTokens] must be read. */
+    /** Notes that a request was sent whose prompt takes [readingMilliseconds] to read. */
     public fun recordSent(
         tokens: TokenDemand?,
-        unreadTokens: Long,
+        readingMilliseconds: Double,
         expectedMilliseconds: Double,
         now: Moment,
     ): OpenSend {
-        val send = OpenSend(unreadTokens, tokens?.worstCase ?: 0, expectedMilliseconds, now)
+        val send = OpenSend(readingMilliseconds, tokens?.worstCase ?: 0, expectedMilliseconds, now)
         openRequests++
         unread += send
-        this.unreadTokens += send.unreadTokens
+        unreadMilliseconds += send.readingMilliseconds
         occupiedTokens += send.occupiedTokens
         if (tokens != null) prefixes.remember(tokens.parts)
         return send
     }
 
+    /** Notes that another router sent a prompt that takes [readingMilliseconds] to read and begins with [parts]. */
+    public fun recordAnnounced(readingMilliseconds: Double, parts: List<PromptPart>, now: Moment) {
+        announcedMilliseconds = announcedBacklog(now) + readingMilliseconds
+        announcedAt = now
+        prefixes.remember(parts)
+    }
+
+    /** Milliseconds until the target has read the prompts that it was sent, as far as this router knows. */
+    public fun backlogMilliseconds(now: Moment): Double {
+        val oldest = unread.firstOrNull()
+        val own = if (oldest == null) 0.0 else unreadMilliseconds - now.millisecondsSince(oldest.sentAt)
+        return own.coerceAtLeast(0.0) + announcedBacklog(now)
+    }
+
+    private fun announcedBacklog(now: Moment): Double =
+        (announcedMilliseconds - now.millisecondsSince(announcedAt)).coerceAtLeast(0.0)
+
     /** Notes the first event of [send] at [now], or with [now] null that none will come. */
     public fun recordRead(send: OpenSend, now: Moment?) {
         if (send.isRead) return
         send.isRead = true
         unread -= send
-        unreadTokens -= send.unreadTokens
+        unreadMilliseconds -= send.readingMilliseconds
         if (now != null) {
             val actual = now.millisecondsSince(send.sentAt).toDouble()
             pace.observe(send.expectedMilliseconds, actual, now)
--- a/core/src/main/kotlin/org/heatherwind/core/retry/RetryAllowance.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/retry/RetryAllowance.kt
@@ -5,25 +5,22 @@
 /**
  * This router's part of the fleet's allowance for further sends of a request to a service.
  *
- * Each first send earns [ratio] of a further send; [base] further sends are free in each [windowMilliseconds]. Sends
- * are counted in slots of a tenth of the window, so that every span of that length keeps the bound.
+ * Each first send earns a part of a further send; the free ones are divided equally. Sends are counted in slots of a
+ * tenth of the window, so that every span of that length keeps the bound.
  */
-public class RetryAllowance(
-    private val ratio: Double,
-    private val base: Double,
-    private val windowMilliseconds: Long,
-) {
-    private val firstSends = SlidingCount(windowMilliseconds)
-    private val furtherSends = SlidingCount(windowMilliseconds)
+public class RetryAllowance(private val bounds: RetryBounds) {
+    private val firstSends = SlidingCount(bounds.windowMilliseconds)
+    private val furtherSends = SlidingCount(bounds.windowMilliseconds)
 
     /** Counts the first send of a request at [now]. */
     public fun recordFirst(now: Moment) {
         firstSends.add(now)
     }
 
-    /** Takes one further send at [now], or false when the allowance is used up. */
-    public fun tryTake(now: Moment): Boolean {
-        val isWithin = furtherSends.sum(now) + 1 <= base + ratio * firstSends.sum(now)
+    /** Takes one further send at [now], or false when this router's part among [routers] is used up. */
+    public fun tryTake(now: Moment, routers: Int): Boolean {
+        val free = bounds.base / routers.coerceAtLeast(1)
+        val isWithin = furtherSends.sum(now) + 1 <= free + bounds.ratio * firstSends.sum(now)
         if (isWithin) furtherSends.add(now)
         return isWithin
     }
--- a/core/src/test/kotlin/org/heatherwind/core/placement/PlacementPolicyTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/PlacementPolicyTest.kt
@@ -22,15 +22,18 @@
 
     private val troubles = listOf(
         Case("long prompts flood it") { load ->
-            repeat(20) { load.recordSent(review(100 + it), 20_000, 300.0, Moment(0)) }
+            repeat(20) { load.recordSent(review(100 + it), 300.0, 300.0, Moment(0)) }
+        },
+        Case("other routers announced long prompts for it") { load ->
+            repeat(3) { load.recordAnnounced(300.0, review(100 + it).parts, Moment(0)) }
         },
         Case("its connection broke just now") { load -> load.recordBroken(Moment(0)) },
         Case("it shed a request just now") { load -> load.recordShed(Moment(0)) },
         Case("another target answers at its address") { load -> load.recordReplaced() },
-        Case("it is silent on an earlier request") { load -> load.recordSent(review(0), 100, 5.0, Moment(-2_000)) },
+        Case("it is silent on an earlier request") { load -> load.recordSent(review(0), 2.0, 5.0, Moment(-2_000)) },
         Case("it reports a long queue") { load -> load.recordReport(running = 64, waiting = 40, now = Moment(0)) },
         Case("its first events come eight times late") { load ->
-            repeat(6) { load.recordRead(load.recordSent(review(100 + it), 9_000, 130.0, Moment(-1_040)), Moment(0)) }
+            repeat(6) { load.recordRead(load.recordSent(review(100 + it), 130.0, 130.0, Moment(-1_040)), Moment(0)) }
         },
     )
 
@@ -44,13 +47,28 @@
         }
     }
 
+    @Test
+    fun `announced prompts are read as time passes`() {
+        val load = loads().first()
+        load.recordAnnounced(300.0, emptyList(), Moment(0))
+        load.recordAnnounced(200.0, emptyList(), Moment(100))
+        assertEquals(listOf(400.0, 150.0, 0.0), listOf(100L, 350, 900).map { load.backlogMilliseconds(Moment(it)) })
+    }
+
+    @Test
+    fun `a prompt that another router announced is known to be kept`() {
+        val load = loads().first()
+        load.recordAnnounced(100.0, review(0).parts.dropLast(1), Moment(0))
+        assertEquals(5_400, load.keptTokens(review(1)))
+    }
+
     @Test
     fun `requests that share a prompt stay together`() {
         val loads = loads()
         val targets = (1..20).map { number ->
             val placement = checkNotNull(choose(loads, review(number)))
             val target = placement.target
-            target.recordEnded(target.recordSent(review(number), placement.unreadTokens, 1.0, Moment(0)))
+            target.recordEnded(target.recordSent(review(number), placement.readingMilliseconds, 1.0, Moment(0)))
             target.entry.id
         }
         assertEquals(1, targets.toSet().size)
--- a/core/src/test/kotlin/org/heatherwind/core/retry/RetryAllowanceTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/retry/RetryAllowanceTest.kt
@@ -9,21 +9,29 @@
 
 /** Given an allowance for further sends, when sends come at any pace, then each window keeps the bound. */
 class RetryAllowanceTest {
-    private class Case(val name: String, val firstSends: Int, val base: Double, val granted: Int)
+    private class Case(
+        val name: String,
+        val firstSends: Int,
+        val base: Double,
+        val routers: Int = 1,
+        val granted: Int,
+    )
 
     private val cases = listOf(
         Case("nothing sent", firstSends = 0, base = 0.0, granted = 0),
         Case("the base alone", firstSends = 0, base = 3.0, granted = 3),
         Case("a share of first sends", firstSends = 20, base = 0.0, granted = 4),
         Case("both", firstSends = 20, base = 3.0, granted = 7),
+        Case("the base divided among three routers", firstSends = 20, base = 6.0, routers = 3, granted = 6),
+        Case("a base smaller than the fleet", firstSends = 0, base = 3.0, routers = 60, granted = 0),
     )
 
     @TestFactory
     fun `further sends are granted`(): List<DynamicTest> = cases.map { case ->
         DynamicTest.dynamicTest(case.name) {
-            val allowance = RetryAllowance(RATIO, case.base, WINDOW)
+            val allowance = RetryAllowance(RetryBounds(RATIO, case.base, WINDOW))
             repeat(case.firstSends) { allowance.recordFirst(Moment(0)) }
-            assertEquals(case.granted, (1..100).count { allowance.tryTake(Moment(1)) })
+            assertEquals(case.granted, (1..100).count { allowance.tryTake(Moment(1), case.routers) })
         }
     }
 
@@ -31,7 +39,7 @@
     fun `every window keeps the bound`(): List<DynamicTest> = (1..20).map { seed ->
         DynamicTest.dynamicTest("seed $seed") {
             val random = Random(seed)
-            val allowance = RetryAllowance(RATIO, base = 5.0, windowMilliseconds = WINDOW)
+            val allowance = RetryAllowance(RetryBounds(RATIO, base = 5.0, windowMilliseconds = WINDOW))
             val firsts = mutableListOf<Long>()
             val furthers = mutableListOf<Long>()
             var now = 0L
@@ -40,7 +48,7 @@
                 if (random.nextBoolean()) {
                     allowance.recordFirst(Moment(now))
                     firsts += now
-                } else if (allowance.tryTake(Moment(now))) {
+                } else if (allowance.tryTake(Moment(now), routers = 1)) {
                     furthers += now
                 }
             }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -17,7 +17,7 @@
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.SteadyClock
 import org.heatherwind.core.identity.Timestamp
-import org.heatherwind.core.retry.RetryAllowance
+import org.heatherwind.core.retry.RetryBounds
 import org.heatherwind.gateway.caller.BodyMemory
 import org.heatherwind.gateway.caller.CallerContext
 import org.heatherwind.gateway.caller.CallerListener
@@ -26,6 +26,7 @@
 import org.heatherwind.gateway.http.StatusText
 import org.heatherwind.gateway.peer.LoanClient
 import org.heatherwind.gateway.peer.LoanServer
+import org.heatherwind.gateway.peer.PlacementAnnouncements
 import org.heatherwind.gateway.protocol.CallerProtocol
 import org.heatherwind.gateway.serve.RequestServer
 import org.heatherwind.gateway.serve.ServeContext
@@ -83,7 +84,13 @@
         isLeaving = { isDraining },
         peerAddress = settings.peerAddress,
     )
-    private val retries = RetryKeeper { newRetryAllowance() }
+    private val retries = RetryKeeper(
+        RetryBounds(
+            ratio = settings.retryRatio * RETRY_MARGIN,
+            base = settings.retryBase * RETRY_MARGIN,
+            windowMilliseconds = settings.retryWindowMilliseconds,
+        ),
+    ) { reports.liveCount() }
     private val bodyMemory = BodyMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
     private val ledgers = BudgetLedgers(store, settings.budgetPartitions)
     private val budgets = BudgetKeeper(
@@ -93,10 +100,12 @@
         clock = clock,
         log = log,
         policy = GrantPolicy(),
+        customers = { state.routes?.plan?.customers.orEmpty() },
         customerOf = { id -> state.routes?.customerNamed(id) },
         reports = reports,
         lender = LoanClient(HttpCaller(eventLoop, clock), log) { customer -> reports.lendersOf(customer) },
     )
+    private val announcements = PlacementAnnouncements(group, clock, log, { reports.peers() }, { state.loadOf(it) })
     private val listener = CallerListener(
         group,
         CallerContext(
@@ -106,7 +115,18 @@
             isDraining = { isDraining },
             bodyMemory = bodyMemory,
             handler = RequestServer(
-                ServeContext(state, protocol, budgets, retries, client, clock, log, metrics, { reports.liveCount() }),
+                ServeContext(
+                    state = state,
+                    protocol = protocol,
+                    budgets = budgets,
+                    retries = retries,
+                    client = client,
+                    announcements = announcements,
+                    clock = clock,
+                    log = log,
+                    metrics = metrics,
+                    routers = { reports.liveCount() },
+                ),
             ),
         ),
     )
@@ -118,12 +138,16 @@
     public fun start() {
         StatusListener(group) { readiness() }.listen(settings.readinessAddress)
         settings.metricsAddress?.let { StatusListener(group) { StatusText(OK, metrics.render()) }.listen(it) }
-        settings.peerAddress?.let { address -> LoanServer(group, scope) { budgets.lend(it) }.listen(address) }
+        settings.peerAddress?.let { address ->
+            LoanServer(group, scope) { budgets.lend(it) }.listen(address)
+            announcements.listen(address)
+        }
         listener.listen(settings.callerAddress)
         registerGauges()
         follow(PLAN_PACE, documents.planPartition, PlanSubscriber(state, documents, log))
         follow(TARGET_PACE, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
-        follow(REPORT_PACE, RouterReports.partition, reports)
+        val reportFollower = StreamFollower(store, RouterReports.partition, reports::followPace, clock, log, reports)
+        scope.launch { reportFollower.run() }
         reports.budgets = budgets
         scope.launch {
             reports.run(onEstablished = { scope.launch { PredecessorGrants(self, ledgers, reports, log).closeAll() } })
@@ -164,7 +188,7 @@
     public suspend fun awaitStopped(): Unit = stopped.await()
 
     private fun follow(pace: FollowPace, partition: StreamPartition, subscriber: StreamSubscriber) {
-        val follower = StreamFollower(store, partition, pace, clock, log, subscriber)
+        val follower = StreamFollower(store, partition, { pace }, clock, log, subscriber)
         scope.launch { follower.run() }
     }
 
@@ -181,12 +205,6 @@
         return StatusText(if (isReady) OK else UNAVAILABLE, ByteArray(0))
     }
 
-    private fun newRetryAllowance() = RetryAllowance(
-        ratio = settings.retryRatio * RETRY_MARGIN,
-        base = settings.retryBase * RETRY_MARGIN / EXPECTED_ROUTERS,
-        windowMilliseconds = settings.retryWindowMilliseconds,
-    )
-
     private fun registerGauges() {
         metrics.gauge("heatherwind_caller_connections", "Open connections of callers.") {
             listener.connectionCount.toDouble()
@@ -215,7 +233,6 @@
 
         /** A leaving target gets no work after two seconds; entries change all the time, so reads are spaced. */
         val TARGET_PACE = FollowPace(waitMilliseconds = 0, pauseMilliseconds = 400)
-        val REPORT_PACE = FollowPace(waitMilliseconds = 0, pauseMilliseconds = 1_000)
         const val TEND_MILLISECONDS = 250L
 
         /** The balancer takes a router out after two missed checks, a second apart. */
@@ -228,8 +245,5 @@
 
         /** Part of the fleet's allowance that is used; the rest covers routers that count differently for a while. */
         const val RETRY_MARGIN = 0.8
-
-        /** The free part of the allowance is divided among this many routers, more than either site has today. */
-        const val EXPECTED_ROUTERS = 12.0
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
@@ -0,0 +1,89 @@
+package org.heatherwind.gateway.peer
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.core.identity.TargetId
+import org.heatherwind.core.placement.Placement
+import org.heatherwind.core.placement.TargetLoad
+import org.heatherwind.core.work.PromptPart
+import org.heatherwind.core.work.TokenDemand
+import org.heatherwind.gateway.telemetry.DecisionLog
+import java.net.InetSocketAddress
+
+/**
+ * Exchanges with other routers which targets were just sent long prompts, by datagrams. Targets report their load late,
+ * and several routers that see the same idle target would all choose it. A lost datagram costs a worse choice.
+ *
+ * @param peers addresses of other routers
+ * @param loadOf the load of a target that the list names, or null
+ */
+internal class PlacementAnnouncements(
+    private val group: EventLoopGroup,
+    private val clock: SteadyClock,
+    private val log: DecisionLog,
+    private val peers: () -> List<InetSocketAddress>,
+    private val loadOf: (TargetId) -> TargetLoad?,
+) {
+    private var channel: Channel? = null
+
+    /** Listens on [address]; fails where the address is taken. */
+    fun listen(address: InetSocketAddress) {
+        channel = Bootstrap().group(group).channel(NioDatagramChannel::class.java).handler(Receiver())
+            .bind(address).syncUninterruptibly().channel()
+    }
+
+    /** Tells other routers of [placement], unless its prompt is short. */
+    fun announce(placement: Placement, tokens: TokenDemand) {
+        val sender = channel ?: return
+        if (placement.readingMilliseconds < SHORTEST_READING_MILLISECONDS) return
+        val announcement = PlacementAnnouncement(
+            target = placement.target.entry.id.value,
+            readingMilliseconds = placement.readingMilliseconds.toLong(),
+            parts = tokens.parts.dropLast(1).map { AnnouncedPart(it.key, it.tokens) },
+        )
+        val bytes = Json.encodeToString(PlacementAnnouncement.serializer(), announcement).encodeToByteArray()
+        val receivers = peers().let { if (it.size > MAXIMUM_PEERS) it.shuffled().take(MAXIMUM_PEERS) else it }
+        receivers.forEach { sender.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
+        sender.flush()
+    }
+
+    private fun take(announcement: PlacementAnnouncement) {
+        val load = loadOf(TargetId(announcement.target)) ?: return
+        val parts = announcement.parts.map { PromptPart(it.key, it.tokens) }
+        load.recordAnnounced(announcement.readingMilliseconds.toDouble(), parts, clock.now())
+    }
+
+    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
+            val text = packet.content().toString(Charsets.UTF_8)
+            try {
+                take(Json.decodeFromString(PlacementAnnouncement.serializer(), text))
+            } catch (failure: SerializationException) {
+                log.belief("placement", "Ignored an unreadable announcement.", "reason" to failure.message)
+            }
+        }
+
+        @Deprecated("declared so by Netty")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            // A peer that is down may have its port reported as closed; the channel stays usable.
+            log.belief("placement", "A datagram could not be sent or received.", "reason" to cause.message)
+        }
+    }
+
+    private companion object {
+        /** Shorter prompts hold up others less than a choice varies anyway. */
+        const val SHORTEST_READING_MILLISECONDS = 15.0
+
+        /** Bounds the datagrams of a large fleet; a random sample reaches every router within a few prompts. */
+        const val MAXIMUM_PEERS = 24
+    }
+}
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
@@ -33,7 +33,7 @@
     private val target = placement.target
     private val sent = target.recordSent(
         work.tokens,
-        placement.unreadTokens,
+        placement.readingMilliseconds,
         placement.expectedMilliseconds,
         clock.now(),
     )
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -10,6 +10,7 @@
 import org.heatherwind.gateway.caller.CallerAnswer
 import org.heatherwind.gateway.caller.ReceivedRequest
 import org.heatherwind.gateway.caller.RequestHandler
+import org.heatherwind.gateway.peer.PlacementAnnouncements
 import org.heatherwind.gateway.protocol.CallerProtocol
 import org.heatherwind.gateway.state.BudgetDecision
 import org.heatherwind.gateway.state.BudgetKeeper
@@ -25,6 +26,7 @@
     val budgets: BudgetKeeper,
     val retries: RetryKeeper,
     val client: TargetClient,
+    val announcements: PlacementAnnouncements,
     val clock: SteadyClock,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetTries.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetTries.kt
@@ -73,6 +73,7 @@
         tried += placement.target.entry.id
         context.metrics.countSend(service.value, isFirst = arrivals == 0)
         logChoice(placement)
+        work.tokens?.let { context.announcements.announce(placement, it) }
         val result = Attempt(
             work = work,
             received = request,
@@ -123,6 +124,7 @@
         "target" to placement.target.entry.id.value,
         "unreadTokens" to placement.unreadTokens,
         "expectedMilliseconds" to placement.expectedMilliseconds.toLong(),
+        "backlogMilliseconds" to placement.target.backlogMilliseconds(context.clock.now()).toLong(),
         "openRequests" to placement.target.openRequests,
         "pace" to placement.target.paceFactor(context.clock.now()),
         "planVersion" to context.state.routes?.plan?.version,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -43,6 +44,7 @@
     private val clock: SteadyClock,
     private val log: DecisionLog,
     private val policy: GrantPolicy,
+    private val customers: () -> List<Customer>,
     private val customerOf: (CustomerId) -> Customer?,
     private val reports: RouterReports,
     private val lender: TokenLender,
@@ -136,7 +138,7 @@
     private suspend fun awaitGrant(account: Account, tokens: Long): Boolean = when (refill(account, tokens).await()) {
         GrantChange.DONE -> true
 
-        GrantChange.SHORT -> borrow(account, tokens) || awaitReturns(account, tokens)
+        GrantChange.SHORT -> uncommittedTokens(account) >= tokens && awaitOthers(account, tokens)
 
         GrantChange.FAILED -> {
             val isLent = borrow(account, tokens)
@@ -145,10 +147,9 @@
         }
     }
 
-    /** Waits for tokens that others give back. Answers whether there are enough that no router has promised. */
-    private suspend fun awaitReturns(account: Account, tokens: Long): Boolean {
-        if (uncommittedTokens(account) < tokens) return false
-        delay(SHORT_PAUSE_MILLISECONDS)
+    /** Borrows what others hold and have not promised, or waits until they give it back. */
+    private suspend fun awaitOthers(account: Account, tokens: Long): Boolean {
+        if (!borrow(account, tokens)) delay(SHORT_PAUSE_MILLISECONDS)
         return true
     }
 
@@ -179,23 +180,30 @@
         reported.forEach { (customer, budget) -> accounts[customer]?.holding?.confirm(budget.ceiling, sentAt) }
     }
 
-    /** Gives back what is held without need, and asks for what runs low. */
+    /** Gives back what is held without need, asks for what runs low, and for a first holding of one more customer. */
     fun tend() {
         val now = clock.now()
         accounts.values.forEach { account ->
             val remainder = remainderOf(account)
-            val isDue = policy.isReturnDue(account.holding, remainder, now) ||
+            val isDue = policy.isReturnDue(account.holding, remainder, freeTokens(account), now) ||
                 policy.isRefillDue(account.holding, remainder, now)
             if (isDue && account.holding.availableTokens != 0L && !account.isClosing) refill(account, neededTokens = 0)
         }
+        prime()
+    }
+
+    private fun prime() {
+        if (accounts.size >= MAXIMUM_PRIMED || reports.isStoreSilent()) return
+        val customer = customers().filter { it.id !in accounts && it.prepaidTokens != null }.randomOrNull() ?: return
+        val account = accountOf(customer.id)
+        refill(account, policy.primingTokens(customer.prepaidTokens ?: 0, reports.liveCount()))
     }
 
     /** Gives back everything that is not committed, before the process ends. */
     suspend fun returnAll() {
-        accounts.values.filter { it.holding.grantedTokens > 0 }.forEach { account ->
-            account.isClosing = true
-            refill(account, neededTokens = 0).await()
-        }
+        val held = accounts.values.filter { it.holding.grantedTokens != 0L }
+        held.forEach { it.isClosing = true }
+        held.map { refill(it, neededTokens = 0) }.awaitAll()
     }
 
     private fun refill(account: Account, neededTokens: Long): CompletableDeferred<GrantChange> {
@@ -308,6 +316,9 @@
         return prepaid - allocationOf(account).closedTokens - account.holding.committedTokens
     }
 
+    private fun freeTokens(account: Account): Long =
+        (customerOf(account.id)?.prepaidTokens ?: 0) - allocationOf(account).allocatedTokens
+
     private fun allocationOf(account: Account): BudgetAllocation = ledgers.of(account.id).allocationOf(account.id)
 
     private fun logChange(account: Account, before: Long, after: Long, allocation: BudgetAllocation): Unit = log.belief(
@@ -351,6 +362,9 @@
         /** Routers that had too little to spare are asked again after this. */
         const val BORROW_PAUSE_MILLISECONDS = 100L
 
+        /** Customers that get a holding ahead of their first request; a larger fleet's customers wait for theirs. */
+        const val MAXIMUM_PRIMED = 64
+
         /** Pause after the store turned a change away. */
         const val RETRY_PAUSE_MILLISECONDS = 60L
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -58,6 +58,9 @@
         }
     }
 
+    /** What is known of the load of [target], or null where the list does not name it. */
+    fun loadOf(target: TargetId): TargetLoad? = loads[target]
+
     /** Targets of [service] that take new work. */
     fun candidatesOf(service: ServiceId): List<TargetLoad> = candidates.getOrPut(service) {
         directory.candidatesOf(service).mapNotNull { loads[it.id] }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -1,6 +1,12 @@
 package org.heatherwind.gateway.state
 
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.LongArraySerializer
+import kotlinx.serialization.descriptors.SerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
 import org.heatherwind.core.escrow.HolderCharge
 import org.heatherwind.core.escrow.SpendCeiling
 
@@ -38,7 +44,7 @@
  * @property availableTokens tokens granted and not committed
  * @property demandPerSecond tokens asked for per second
  */
-@Serializable
+@Serializable(with = BudgetReportSerializer::class)
 internal data class BudgetReport(
     val usedTokens: Long,
     val ceilingTokens: Long,
@@ -50,6 +56,33 @@
     val ceiling: SpendCeiling get() = SpendCeiling(ceilingTokens, growthPerSecond, releaseTokens)
 }
 
+/** Writes a [BudgetReport] as a list of its numbers, since a report holds one for each customer. */
+internal object BudgetReportSerializer : KSerializer<BudgetReport> {
+    private val numbers = LongArraySerializer()
+    private const val SIZE = 6
+
+    override val descriptor: SerialDescriptor = SerialDescriptor("BudgetReport", numbers.descriptor)
+
+    override fun serialize(encoder: Encoder, value: BudgetReport): Unit = encoder.encodeSerializableValue(
+        numbers,
+        longArrayOf(
+            value.usedTokens,
+            value.ceilingTokens,
+            value.growthPerSecond,
+            value.releaseTokens,
+            value.availableTokens,
+            value.demandPerSecond,
+        ),
+    )
+
+    override fun deserialize(decoder: Decoder): BudgetReport {
+        val read = decoder.decodeSerializableValue(numbers)
+        if (read.size != SIZE) throw SerializationException("a budget of ${read.size} numbers in place of $SIZE")
+        val (used, ceiling, growth, release, available) = read
+        return BudgetReport(used, ceiling, growth, release, available, demandPerSecond = read.last())
+    }
+}
+
 /** A router's word on what an earlier process charged. */
 @Serializable
 internal data class ChargeReport(val atLeast: Long, val atMost: Long) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
@@ -99,16 +99,18 @@
     fun lendersOf(customer: CustomerId): List<InetSocketAddress> = latest.values
         .filter { it.report.incarnation != self.value && !it.report.isLeaving }
         .sortedByDescending { it.report.budgets[customer.value]?.availableTokens ?: 0 }
-        .mapNotNull { known -> known.report.peerAddress?.let { addressOf(it) } }
+        .mapNotNull { it.peerAddress }
 
-    private fun addressOf(text: String): InetSocketAddress? =
-        text.substringAfterLast(':').toIntOrNull()?.let { InetSocketAddress(text.substringBeforeLast(':'), it) }
+    /** Where other routers listen. */
+    fun peers(): List<InetSocketAddress> = latest.values
+        .filter { it.report.incarnation != self.value && !it.report.isLeaving }
+        .mapNotNull { it.peerAddress }
 
     /** Whether the store confirmed nothing for longer than usual, so that other routers are the faster way to tokens. */
-    fun isStoreSilent(): Boolean = clock.now().millisecondsSince(confirmedAt) > SILENT_MILLISECONDS
+    fun isStoreSilent(): Boolean = clock.now().millisecondsSince(confirmedAt) > intervalMilliseconds() + SILENT_MILLISECONDS
 
     /** Whether the store confirmed nothing for so long that waiting for it does not help an open request. */
-    fun isStoreLost(): Boolean = clock.now().millisecondsSince(confirmedAt) > LOST_MILLISECONDS
+    fun isStoreLost(): Boolean = clock.now().millisecondsSince(confirmedAt) > intervalMilliseconds() + LOST_MILLISECONDS
 
     /** Fences off earlier processes, then publishes until it is cancelled. */
     suspend fun run(onEstablished: () -> Unit) {
@@ -116,12 +118,25 @@
         onEstablished()
         while (currentCoroutineContext().isActive) {
             publishOnce()
-            val pause = maxOf(INTERVAL_MILLISECONDS, liveCount() * INTERVAL_PER_ROUTER_MILLISECONDS)
-            delay(MINIMUM_PAUSE_MILLISECONDS)
-            withTimeoutOrNull(pause - MINIMUM_PAUSE_MILLISECONDS) { wanted.await() }
+            val shortest = maxOf(MINIMUM_PAUSE_MILLISECONDS, liveCount() * MINIMUM_PAUSE_PER_ROUTER_MILLISECONDS)
+            delay(shortest)
+            withTimeoutOrNull(intervalMilliseconds() - shortest) { wanted.await() }
         }
     }
 
+    private fun intervalMilliseconds(): Long =
+        maxOf(INTERVAL_MILLISECONDS, liveCount() * INTERVAL_PER_ROUTER_MILLISECONDS)
+
+    /** How the reports of all routers are read. */
+    fun followPace(): FollowPace {
+        val routers = liveCount()
+        return FollowPace(
+            waitMilliseconds = 0,
+            pauseMilliseconds = maxOf(READ_PAUSE_MILLISECONDS, routers * READ_PAUSE_PER_ROUTER_MILLISECONDS),
+            isNewestOnly = routers > FOLLOWED_ROUTERS,
+        )
+    }
+
     /** Asks for a report soon, and waits until the next one was sent. */
     suspend fun publishSoon() {
         wanted.complete(Unit)
@@ -264,7 +279,11 @@
         }
     }
 
-    private class Known(val report: RouterReport, val seenAt: Moment)
+    private class Known(val report: RouterReport, val seenAt: Moment) {
+        val peerAddress: InetSocketAddress? = report.peerAddress?.let { text ->
+            text.substringAfterLast(':').toIntOrNull()?.let { InetSocketAddress(text.substringBeforeLast(':'), it) }
+        }
+    }
 
     private class SentReport(val bytes: ByteArray, val budgets: Map<CustomerId, BudgetReport>, val composedAt: Moment)
 
@@ -278,19 +297,31 @@
         /** Reports that budgets ask for are gathered for this long. */
         private const val MINIMUM_PAUSE_MILLISECONDS = 15L
 
+        /** Keeps the reports that budgets ask for to some hundred a second in a large fleet. */
+        private const val MINIMUM_PAUSE_PER_ROUTER_MILLISECONDS = 2L
+
+        /** Others' use changes shares and prospects, which may lag by some seconds. */
+        private const val READ_PAUSE_MILLISECONDS = 1_000L
+
+        /** Keeps what a router reads of reports to some tens of kilobytes a second in a large fleet. */
+        private const val READ_PAUSE_PER_ROUTER_MILLISECONDS = 50L
+
+        /** In larger fleets most reports are replaced before the next read. */
+        private const val FOLLOWED_ROUTERS = 16
+
         /** Keeps the appends of a large fleet to about a hundred a second. */
         private const val INTERVAL_PER_ROUTER_MILLISECONDS = 10L
 
-        /** One report without an answer, with time for the next. */
-        private const val SILENT_MILLISECONDS = 450L
+        /** Beyond the usual interval: many times the store's answer time. */
+        private const val SILENT_MILLISECONDS = 200L
 
-        /** Several reports without an answer. */
-        private const val LOST_MILLISECONDS = 1_200L
+        /** Beyond the usual interval: several tries without an answer. */
+        private const val LOST_MILLISECONDS = 950L
 
         /** Pause before fencing is tried again. */
         private const val ESTABLISH_PAUSE_MILLISECONDS = 100L
 
-        /** Several intervals, so that a lost report does not change the count. */
-        private const val FORGOTTEN_MILLISECONDS = 5_000L
+        /** Several intervals and reads, so that a lost report does not change the count. */
+        private const val FORGOTTEN_MILLISECONDS = 10_000L
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
@@ -23,8 +23,19 @@
     fun onCurrent(now: Moment, isRegained: Boolean)
 }
 
-/** [waitMilliseconds] that a read waits for a record, and [pauseMilliseconds] between reads. */
-internal data class FollowPace(val waitMilliseconds: Long, val pauseMilliseconds: Long)
+/**
+ * How a partition is read.
+ *
+ * @property waitMilliseconds time that a read waits for a record
+ * @property pauseMilliseconds time between reads
+ * @property isNewestOnly whether each read takes the newest record of each key, which costs less where most records are
+ *   replaced before they are read
+ */
+internal data class FollowPace(
+    val waitMilliseconds: Long,
+    val pauseMilliseconds: Long,
+    val isNewestOnly: Boolean = false,
+)
 
 /**
  * Reads one partition at a steady pace: the newest record of each key first, then what is added. After records expired,
@@ -33,7 +44,7 @@
 internal class StreamFollower(
     private val store: RecordStore,
     private val partition: StreamPartition,
-    private val pace: FollowPace,
+    private val pace: () -> FollowPace,
     private val clock: SteadyClock,
     private val log: DecisionLog,
     private val subscriber: StreamSubscriber,
@@ -45,22 +56,16 @@
     suspend fun run() {
         while (currentCoroutineContext().isActive) {
             step()
-            delay(pace.pauseMilliseconds)
+            delay(pace().pauseMilliseconds)
         }
     }
 
     /** Reads once. */
     suspend fun step() {
-        val from = nextOffset
-        when (
-            val read = if (from ==
-                null
-            ) {
-                store.newest(partition)
-            } else {
-                store.read(partition, from, pace.waitMilliseconds)
-            }
-        ) {
+        val pace = pace()
+        val from = nextOffset.takeUnless { pace.isNewestOnly }
+        val read = if (from == null) store.newest(partition) else store.read(partition, from, pace.waitMilliseconds)
+        when (read) {
             is StreamRead.Records -> {
                 if (from == null) subscriber.onSnapshot(read.records) else subscriber.onRecords(read.records)
                 nextOffset = read.nextOffset
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
@@ -18,7 +18,6 @@
 import org.heatherwind.core.identity.SteadyClock
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.gateway.peer.LoanRequest
-import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.GatewayMetrics
 import kotlin.random.Random
@@ -74,6 +73,7 @@
             clock = clock,
             log = log,
             policy = GrantPolicy(),
+            customers = { listOf(customer) },
             customerOf = { customer },
             reports = reports,
             lender = { customer, needed -> borrow(customer, needed) },
@@ -87,7 +87,7 @@
                 life.launch { PredecessorGrants(self, ledgers, reports, log).closeAll() }
             })
         }
-        val follower = StreamFollower(own, StreamPartition("routers"), FollowPace(0, 500), clock, log, reports)
+        val follower = StreamFollower(own, RouterReports.partition, reports::followPace, clock, log, reports)
         life.launch { follower.run() }
         life.launch {
             while (true) {
