Keep ceilings with a witness while the store is silent

Besides, a router counted on the older of its last two reports while the store might hold the newer one. Ruled out: grants (they cover 15 s), a longer slack (lost with every death), one release of the whole grant (two routers that die for two seconds would lose 11% of each budget). Change: each report names another live router; after 2.6 s of silence that one keeps the ceilings, and the next process on the instance asks it. Where it is gone too, a bound on the time of silence counts. The smaller of two reports that the store may hold counts. Test: BudgetHistoryTest has a sixth case, kills within cuts; 72 of 72 histories pass, none overspent.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -21,6 +21,8 @@
         private set
 
     private var ceiling: ConfirmedCeiling? = null
+    private var proposed: ConfirmedCeiling? = null
+    private var witnessedTokens = Long.MIN_VALUE
     private val demand = DecayingRate(startedAt, DEMAND_HALF_LIFE_MILLISECONDS)
 
     /** Granted tokens that no request has reserved or used. */
@@ -30,7 +32,14 @@
     public val committedTokens: Long get() = usedTokens + reservedTokens
 
     /** Tokens that a new request may reserve at [now]. */
-    public fun reservableTokens(now: Moment): Long = minOf(grantedTokens, ceiling?.at(now) ?: 0) - committedTokens
+    public fun reservableTokens(now: Moment): Long =
+        minOf(grantedTokens, maxOf(storedCeiling(now), witnessedCeiling(now))) - committedTokens
+
+    /** Either of the last two ceilings may be the one that the store holds, so the smaller one counts. */
+    private fun storedCeiling(now: Moment): Long = minOf(ceiling?.at(now) ?: 0, proposed?.at(now) ?: Long.MAX_VALUE)
+
+    private fun witnessedCeiling(now: Moment): Long =
+        minOf(witnessedTokens, ceiling?.witnessedAt(now) ?: 0, proposed?.witnessedAt(now) ?: Long.MAX_VALUE)
 
     /**
      * The ceiling that the next report should carry. What lies between use and ceiling is lost to the customer if this
@@ -54,9 +63,21 @@
         )
     }
 
-    /** Notes that the store confirmed [confirmed] in a call sent at [sentAt]. */
+    /** Notes that [ceiling] is sent to the store at [sentAt], and may be what it holds from now on. */
+    public fun propose(ceiling: SpendCeiling, sentAt: Moment) {
+        proposed = ConfirmedCeiling(ceiling, sentAt)
+    }
+
+    /** Notes that the store confirmed [confirmed] in a call sent at [sentAt]. What a witness confirmed ends with that. */
     public fun confirm(confirmed: SpendCeiling, sentAt: Moment) {
         ceiling = ConfirmedCeiling(confirmed, sentAt)
+        proposed = null
+        witnessedTokens = Long.MIN_VALUE
+    }
+
+    /** Notes that a witness will tell this router's successor that [tokens] may have been charged. */
+    public fun confirmWitnessed(tokens: Long) {
+        witnessedTokens = maxOf(witnessedTokens, tokens)
     }
 
     /** Whether the store should be told a higher ceiling before requests have to wait for it. */
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
@@ -25,6 +25,13 @@
             grown(elapsedMilliseconds - RELEASE_MILLISECONDS, RELEASED_SHARE)
     }
 
+    /**
+     * The most that may be charged with a witness's word when the store last confirmed this ceiling [elapsedMilliseconds]
+     * ago. It bounds what is lost where the witness is gone too.
+     */
+    public fun witnessedAfter(elapsedMilliseconds: Long): Long =
+        tokens + releaseTokens * WITNESSED_RELEASES + grown(elapsedMilliseconds, WITNESSED_SHARE)
+
     private fun grown(milliseconds: Long, share: Double): Long =
         (growthPerSecond * share * milliseconds / MILLISECONDS_PER_SECOND).toLong()
 
@@ -35,6 +42,15 @@
         /** An instance that lost power is mostly back before this, so that a longer silence means a lost store. */
         public const val RELEASE_MILLISECONDS: Long = 1_700
 
+        /** After a silence of this length a router has its ceilings confirmed by a witness in place of the store. */
+        public const val WITNESS_MILLISECONDS: Long = 2_600
+
+        /** Demand may more than double for some seconds while a witness keeps the ceiling. */
+        private const val WITNESSED_SHARE = 2.5
+
+        /** Room for a few large requests beside the demand. */
+        private const val WITNESSED_RELEASES = 5
+
         /** Part of the demand that is served before the release. */
         private const val CAUTIOUS_SHARE = 0.25
 
@@ -48,5 +64,7 @@
 internal class ConfirmedCeiling(private val ceiling: SpendCeiling, private val sentAt: Moment) {
     fun at(now: Moment): Long = ceiling.after(now.millisecondsSince(sentAt))
 
+    fun witnessedAt(now: Moment): Long = ceiling.witnessedAfter(now.millisecondsSince(sentAt))
+
     val tokens: Long get() = ceiling.tokens
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -24,9 +24,19 @@
 import org.heatherwind.gateway.http.HttpCaller
 import org.heatherwind.gateway.http.StatusListener
 import org.heatherwind.gateway.http.StatusText
+import org.heatherwind.gateway.peer.CeilingAnswer
+import org.heatherwind.gateway.peer.CeilingNotice
+import org.heatherwind.gateway.peer.CeilingQuestion
+import org.heatherwind.gateway.peer.CeilingReceipt
+import org.heatherwind.gateway.peer.CeilingWitness
+import org.heatherwind.gateway.peer.LoanAnswer
 import org.heatherwind.gateway.peer.LoanClient
-import org.heatherwind.gateway.peer.LoanServer
+import org.heatherwind.gateway.peer.LoanRequest
+import org.heatherwind.gateway.peer.PeerCall
+import org.heatherwind.gateway.peer.PeerClient
+import org.heatherwind.gateway.peer.PeerServer
 import org.heatherwind.gateway.peer.PlacementAnnouncements
+import org.heatherwind.gateway.peer.WitnessClient
 import org.heatherwind.gateway.protocol.CallerProtocol
 import org.heatherwind.gateway.serve.RequestServer
 import org.heatherwind.gateway.serve.ServeContext
@@ -74,6 +84,7 @@
     private val state = FleetState()
     private val stopped = CompletableDeferred<Unit>()
     private val client = TargetClient(eventLoop, clock)
+    private val peerClient = PeerClient(HttpCaller(eventLoop, clock), log)
     private val reports = RouterReports(
         self = self,
         store = store,
@@ -83,7 +94,9 @@
         timeOfDay = Clock.system::now,
         isLeaving = { isDraining },
         peerAddress = settings.peerAddress,
+        witnesses = WitnessClient(peerClient),
     )
+    private val witness = CeilingWitness(self)
     private val retries = RetryKeeper(
         RetryBounds(
             ratio = settings.retryRatio * RETRY_MARGIN,
@@ -103,7 +116,7 @@
         customers = { state.routes?.plan?.customers.orEmpty() },
         customerOf = { id -> state.routes?.customerNamed(id) },
         reports = reports,
-        lender = LoanClient(HttpCaller(eventLoop, clock), log) { customer -> reports.lendersOf(customer) },
+        lender = LoanClient(peerClient, log) { customer -> reports.lendersOf(customer) },
     )
     private val announcements = PlacementAnnouncements(group, clock, log, { reports.peers() }, { state.loadOf(it) })
     private val listener = CallerListener(
@@ -139,7 +152,7 @@
         StatusListener(group) { readiness() }.listen(settings.readinessAddress)
         settings.metricsAddress?.let { StatusListener(group) { StatusText(OK, metrics.render()) }.listen(it) }
         settings.peerAddress?.let { address ->
-            LoanServer(group, scope) { budgets.lend(it) }.listen(address)
+            PeerServer(group, peerCalls()).listen(address)
             announcements.listen(address)
         }
         listener.listen(settings.callerAddress)
@@ -152,6 +165,7 @@
         scope.launch {
             reports.run(onEstablished = { scope.launch { PredecessorGrants(self, ledgers, reports, log).closeAll() } })
         }
+        scope.launch { reports.runWitnessed() }
         scope.launch { tend() }
         log.process("Started.", "incarnation" to self.value, "callers" to settings.callerAddress.toString())
     }
@@ -200,6 +214,12 @@
         }
     }
 
+    private fun peerCalls(): List<PeerCall<*, *>> = listOf(
+        PeerCall(LoanClient.PATH, LoanRequest.serializer(), LoanAnswer.serializer()) { LoanAnswer(budgets.lend(it)) },
+        PeerCall(WitnessClient.KEEP, CeilingNotice.serializer(), CeilingReceipt.serializer(), witness::keep),
+        PeerCall(WitnessClient.CLOSE, CeilingQuestion.serializer(), CeilingAnswer.serializer(), witness::close),
+    )
+
     private fun readiness(): StatusText {
         val isReady = state.isReady && reports.isEstablished && !isDraining
         return StatusText(if (isReady) OK else UNAVAILABLE, ByteArray(0))
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/LoanClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/LoanClient.kt
@@ -1,11 +1,6 @@
 package org.heatherwind.gateway.peer
 
-import io.netty.handler.codec.http.HttpMethod
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import org.heatherwind.core.identity.CustomerId
-import org.heatherwind.gateway.http.CallOutcome
-import org.heatherwind.gateway.http.HttpCaller
 import org.heatherwind.gateway.telemetry.DecisionLog
 import java.net.InetSocketAddress
 
@@ -17,7 +12,7 @@
 
 /** Asks the routers that [peers] names for a customer, those that hold most first. */
 internal class LoanClient(
-    private val caller: HttpCaller,
+    private val client: PeerClient,
     private val log: DecisionLog,
     private val peers: (CustomerId) -> List<InetSocketAddress>,
 ) : TokenLender {
@@ -39,30 +34,18 @@
         return lent
     }
 
-    private suspend fun ask(peer: InetSocketAddress, request: LoanRequest): Long {
-        val body = Json.encodeToString(LoanRequest.serializer(), request).encodeToByteArray()
-        return tokensOf(caller.call(peer, HttpMethod.POST, "/loan", body, TIMEOUT_MILLISECONDS))
-    }
+    /** A peer that does not answer lends nothing; what it charged for the loan then stays unused. */
+    private suspend fun ask(peer: InetSocketAddress, request: LoanRequest): Long =
+        client.ask(peer, PATH, request, LoanRequest.serializer(), LoanAnswer.serializer())?.tokens ?: 0
 
-    /** An answer that did not come or cannot be read lends nothing; what the peer charged for it stays unused. */
-    private fun tokensOf(outcome: CallOutcome): Long = when (outcome) {
-        is CallOutcome.NotSent, is CallOutcome.NoAnswer -> 0
+    companion object {
+        /** Where routers answer loans. */
+        const val PATH: String = "/loan"
 
-        is CallOutcome.Answered -> try {
-            Json.decodeFromString(LoanAnswer.serializer(), outcome.body.decodeToString()).tokens
-        } catch (_: SerializationException) {
-            0
-        }
-    }
-
-    private companion object {
         /** Routers asked for one request. */
-        const val MAXIMUM_PEERS = 5
-
-        /** Many times the delay between data centres; a peer that is cut off must not hold up the request. */
-        const val TIMEOUT_MILLISECONDS = 60L
+        private const val MAXIMUM_PEERS = 5
 
         /** Borrowed beside the need, so that the next short request needs no call. */
-        const val SPARE_TOKENS = 2_000L
+        private const val SPARE_TOKENS = 2_000L
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/LoanServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerServer.kt
@@ -15,18 +15,33 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpVersion
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.launch
+import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import java.net.InetSocketAddress
 
-/** Answers other routers that ask for tokens. */
-internal class LoanServer(
-    private val group: EventLoopGroup,
-    private val scope: CoroutineScope,
-    private val lend: suspend (LoanRequest) -> Long,
+/** A call that other routers may make. */
+internal class PeerCall<Q, A>(
+    val path: String,
+    private val question: KSerializer<Q>,
+    private val answer: KSerializer<A>,
+    private val handle: (Q) -> A,
 ) {
+    /** The answer to [text], or null where it cannot be read. */
+    fun answerTo(text: String): String? {
+        val read = try {
+            Json.decodeFromString(question, text)
+        } catch (_: SerializationException) {
+            return null
+        }
+        return Json.encodeToString(answer, handle(read))
+    }
+}
+
+/** Answers the [calls] of other routers. */
+internal class PeerServer(private val group: EventLoopGroup, calls: List<PeerCall<*, *>>) {
+    private val callsByPath = calls.associateBy { it.path }
+
     /** Listens on [address]; fails where the address is taken. */
     fun listen(address: InetSocketAddress) {
         ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
@@ -40,25 +55,14 @@
 
     private inner class Responder : SimpleChannelInboundHandler<FullHttpRequest>() {
         override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
-            val loan = read(request.content().toString(Charsets.UTF_8))
-            scope.launch { answer(context, loan) }
-        }
-
-        private suspend fun answer(context: ChannelHandlerContext, loan: LoanRequest?) {
-            val status = if (loan == null) HttpResponseStatus.BAD_REQUEST else HttpResponseStatus.OK
-            val answer = LoanAnswer(loan?.let { lend(it) } ?: 0)
-            val body = Json.encodeToString(LoanAnswer.serializer(), answer).encodeToByteArray()
+            val answer = callsByPath[request.uri()]?.answerTo(request.content().toString(Charsets.UTF_8))
+            val status = if (answer == null) HttpResponseStatus.BAD_REQUEST else HttpResponseStatus.OK
+            val body = answer.orEmpty().encodeToByteArray()
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body))
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
             context.writeAndFlush(response)
         }
 
-        private fun read(text: String): LoanRequest? = try {
-            Json.decodeFromString(LoanRequest.serializer(), text)
-        } catch (_: SerializationException) {
-            null
-        }
-
         @Deprecated("declared so by Netty")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
             context.close()
@@ -66,6 +70,7 @@
     }
 
     private companion object {
-        const val MAXIMUM_BYTES = 4_096
+        /** A report of some hundred customers. */
+        const val MAXIMUM_BYTES = 65_536
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/WitnessClient.kt
@@ -0,0 +1,39 @@
+package org.heatherwind.gateway.peer
+
+import java.net.InetSocketAddress
+
+/** Reaches the witness of a router's ceilings. */
+internal interface Witnesses {
+    /** Has [ceilings] of [holder] kept by [witness]. Answers whether they are. */
+    suspend fun keep(witness: WitnessName, holder: String, ceilings: Map<String, Long>): Boolean
+
+    /** The last ceilings of [holder], or null where [witness] is gone. */
+    suspend fun close(witness: WitnessName, holder: String): Map<String, Long>?
+}
+
+/** Reaches witnesses over the network. */
+internal class WitnessClient(private val client: PeerClient) : Witnesses {
+    override suspend fun keep(witness: WitnessName, holder: String, ceilings: Map<String, Long>): Boolean {
+        val notice = CeilingNotice(witness.incarnation, holder, ceilings)
+        val address = addressOf(witness) ?: return false
+        return client.ask(address, KEEP, notice, CeilingNotice.serializer(), CeilingReceipt.serializer())?.isKept == true
+    }
+
+    override suspend fun close(witness: WitnessName, holder: String): Map<String, Long>? {
+        val question = CeilingQuestion(witness.incarnation, holder)
+        val address = addressOf(witness) ?: return null
+        return client.ask(address, CLOSE, question, CeilingQuestion.serializer(), CeilingAnswer.serializer())?.ceilings
+    }
+
+    private fun addressOf(witness: WitnessName): InetSocketAddress? =
+        witness.address.substringAfterLast(':').toIntOrNull()
+            ?.let { InetSocketAddress(witness.address.substringBeforeLast(':'), it) }
+
+    companion object {
+        /** Where a witness takes ceilings. */
+        const val KEEP: String = "/witness/keep"
+
+        /** Where a witness answers successors. */
+        const val CLOSE: String = "/witness/close"
+    }
+}
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -176,6 +176,14 @@
         }
     }
 
+    override fun onProposed(reported: Map<CustomerId, BudgetReport>, sentAt: Moment) {
+        reported.forEach { (customer, budget) -> accounts[customer]?.holding?.propose(budget.ceiling, sentAt) }
+    }
+
+    override fun onWitnessed(reported: Map<CustomerId, BudgetReport>) {
+        reported.forEach { (customer, budget) -> accounts[customer]?.holding?.confirmWitnessed(budget.ceilingTokens) }
+    }
+
     override fun onConfirmed(reported: Map<CustomerId, BudgetReport>, sentAt: Moment) {
         reported.forEach { (customer, budget) -> accounts[customer]?.holding?.confirm(budget.ceiling, sentAt) }
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.encoding.Encoder
 import org.heatherwind.core.escrow.HolderCharge
 import org.heatherwind.core.escrow.SpendCeiling
+import org.heatherwind.gateway.peer.WitnessName
 
 /**
  * What one router tells the others about once a second.
@@ -21,6 +22,7 @@
  * @property predecessors what earlier processes on the same instance may have charged, while their grants are open
  * @property isLeaving whether it takes no new callers
  * @property peerAddress IP number and port at which other routers reach it
+ * @property witness who keeps its ceilings while the store is out of reach
  */
 @Serializable
 internal data class RouterReport(
@@ -32,6 +34,7 @@
     val predecessors: Map<String, Map<String, ChargeReport>> = emptyMap(),
     val isLeaving: Boolean = false,
     val peerAddress: String? = null,
+    val witness: WitnessName? = null,
 )
 
 /**
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
@@ -9,12 +9,15 @@
 import kotlinx.serialization.json.Json
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.escrow.HolderCharge
+import org.heatherwind.core.escrow.SpendCeiling
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.identity.SteadyClock
 import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.gateway.peer.WitnessName
+import org.heatherwind.gateway.peer.Witnesses
 import org.heatherwind.gateway.store.AppendCondition
 import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.store.NewRecord
@@ -30,8 +33,14 @@
     /** The present state, by customer. */
     fun present(): Map<CustomerId, BudgetReport>
 
+    /** [reported] is sent to the store at [sentAt]. */
+    fun onProposed(reported: Map<CustomerId, BudgetReport>, sentAt: Moment)
+
     /** The store confirmed [reported], sent at [sentAt]. */
     fun onConfirmed(reported: Map<CustomerId, BudgetReport>, sentAt: Moment)
+
+    /** A witness keeps [reported]. */
+    fun onWitnessed(reported: Map<CustomerId, BudgetReport>)
 }
 
 /**
@@ -47,6 +56,7 @@
     private val timeOfDay: () -> Timestamp,
     private val isLeaving: () -> Boolean,
     private val peerAddress: InetSocketAddress?,
+    private val witnesses: Witnesses,
 ) : StreamSubscriber {
     /** The budgets that reports carry. */
     lateinit var budgets: ReportedBudgets
@@ -57,6 +67,8 @@
     private var epoch = 0L
     private var sequence = 0L
     private var unconfirmed: SentReport? = null
+    private var confirmedWitness: WitnessName? = null
+    private var composedAt = Moment.distantPast
     private var wanted = CompletableDeferred<Unit>()
     private var published = CompletableDeferred<Unit>()
 
@@ -69,10 +81,8 @@
 
     /** Routers that report, this one included. Silence while the store is out of reach removes none. */
     fun liveCount(): Int {
-        val now = minOf(clock.now(), contactAt)
         val others = latest.count { (instance, known) ->
-            instance != self.instance && now.millisecondsSince(known.seenAt) < FORGOTTEN_MILLISECONDS &&
-                !known.report.isLeaving
+            instance != self.instance && isFresh(known) && !known.report.isLeaving
         }
         return others + 1
     }
@@ -127,6 +137,43 @@
     private fun intervalMilliseconds(): Long =
         maxOf(INTERVAL_MILLISECONDS, liveCount() * INTERVAL_PER_ROUTER_MILLISECONDS)
 
+    /** Has ceilings kept by the witness while the store is silent, until it is cancelled. */
+    suspend fun runWitnessed() {
+        while (currentCoroutineContext().isActive) {
+            delay(WITNESSED_PAUSE_MILLISECONDS)
+            witnessOnce()
+        }
+    }
+
+    /**
+     * The witness counts only if every report that the store may hold names it, and only after a silence that a successor
+     * can tell from a short one.
+     */
+    private suspend fun witnessOnce() {
+        val witness = confirmedWitness ?: return
+        val isSilent = clock.now().millisecondsSince(composedAt) > SpendCeiling.WITNESS_MILLISECONDS
+        val pending = unconfirmed
+        if (!isSilent || pending != null && pending.witness != witness) return
+        val reported = budgets.present()
+        val ceilings = reported.entries.associate { (customer, budget) -> customer.value to budget.ceilingTokens }
+        val isKept = witnesses.keep(witness, self.value, ceilings)
+        if (isKept && unconfirmed === pending) budgets.onWitnessed(reported)
+    }
+
+    /** The next live router by name keeps this one's ceilings, and stays the one while it lives. */
+    private fun chooseWitness(): WitnessName? {
+        val live = latest.values.filter { it.report.incarnation != self.value && !it.report.isLeaving && isFresh(it) }
+        val present = confirmedWitness?.takeIf { witness -> live.any { it.report.incarnation == witness.incarnation } }
+        val next = live.sortedBy { it.report.incarnation }
+            .let { sorted -> sorted.firstOrNull { it.report.incarnation > self.value } ?: sorted.firstOrNull() }
+        return present ?: next?.report?.let { report ->
+            report.peerAddress?.let { WitnessName(report.incarnation, it) }
+        }
+    }
+
+    private fun isFresh(known: Known): Boolean =
+        minOf(clock.now(), contactAt).millisecondsSince(known.seenAt) < FORGOTTEN_MILLISECONDS
+
     /** How the reports of all routers are read. */
     fun followPace(): FollowPace {
         val routers = liveCount()
@@ -175,11 +222,15 @@
             },
             isLeaving = isLeaving(),
             peerAddress = peerAddress?.let { "${it.hostString}:${it.port}" },
+            witness = chooseWitness(),
         )
+        composedAt = clock.now()
+        budgets.onProposed(reported, composedAt)
         return SentReport(
-            Json.encodeToString(RouterReport.serializer(), report).encodeToByteArray(),
-            reported,
-            clock.now(),
+            bytes = Json.encodeToString(RouterReport.serializer(), report).encodeToByteArray(),
+            budgets = reported,
+            composedAt = composedAt,
+            witness = report.witness,
         )
     }
 
@@ -190,6 +241,7 @@
             is StreamAppend.Appended -> {
                 unconfirmed = null
                 confirmedAt = report.composedAt
+                confirmedWitness = report.witness
                 budgets.onConfirmed(report.budgets, report.composedAt)
             }
 
@@ -237,11 +289,25 @@
     }
 
     /** Works out what the last process may have charged after its last report. */
-    private fun notePredecessor(report: RouterReport) {
+    private suspend fun notePredecessor(report: RouterReport) {
         if (report.incarnation == self.value) return
         val silentMilliseconds = startedAt.millisecondsSince(Timestamp(report.epochMilliseconds))
+        val mayBeWitnessed = silentMilliseconds < 0 ||
+            silentMilliseconds > SpendCeiling.WITNESS_MILLISECONDS - CLOCK_MARGIN_MILLISECONDS
+        val witnessed = report.witness?.takeIf { mayBeWitnessed }?.let { witnesses.close(it, report.incarnation) }
+        val isWitnessLost = mayBeWitnessed && witnessed == null && report.witness != null
         val charges = report.budgets.entries.associate { (customer, budget) ->
-            val atMost = if (silentMilliseconds < 0) Long.MAX_VALUE else budget.ceiling.after(silentMilliseconds)
+            val kept = witnessed?.get(customer) ?: Long.MIN_VALUE
+            val atMost = when {
+                silentMilliseconds < 0 -> Long.MAX_VALUE
+
+                isWitnessLost -> maxOf(
+                    budget.ceiling.after(silentMilliseconds),
+                    budget.ceiling.witnessedAfter(silentMilliseconds),
+                )
+
+                else -> maxOf(budget.ceiling.after(silentMilliseconds), kept)
+            }
             CustomerId(customer) to HolderCharge(budget.usedTokens, atMost)
         }
         val earlier = report.predecessors.entries.associate { (process, charged) ->
@@ -253,6 +319,8 @@
             "An earlier process may have charged up to its ceilings.",
             "process" to report.incarnation,
             "silentMilliseconds" to silentMilliseconds,
+            "isWitnessed" to (witnessed != null),
+            "isWitnessLost" to isWitnessLost,
             "used" to report.budgets.values.sumOf { it.usedTokens },
             "ceilings" to report.budgets.values.sumOf { it.ceilingTokens },
         )
@@ -285,7 +353,12 @@
         }
     }
 
-    private class SentReport(val bytes: ByteArray, val budgets: Map<CustomerId, BudgetReport>, val composedAt: Moment)
+    private class SentReport(
+        val bytes: ByteArray,
+        val budgets: Map<CustomerId, BudgetReport>,
+        val composedAt: Moment,
+        val witness: WitnessName?,
+    )
 
     companion object {
         /** Where reports lie. */
@@ -297,6 +370,12 @@
         /** Reports that budgets ask for are gathered for this long. */
         private const val MINIMUM_PAUSE_MILLISECONDS = 15L
 
+        /** Requests that need a higher ceiling wait about this long while the store is out of reach. */
+        private const val WITNESSED_PAUSE_MILLISECONDS = 60L
+
+        /** Times of day differ between processes by less than this. */
+        private const val CLOCK_MARGIN_MILLISECONDS = 300L
+
         /** Keeps the reports that budgets ask for to some hundred a second in a large fleet. */
         private const val MINIMUM_PAUSE_PER_ROUTER_MILLISECONDS = 2L
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
@@ -29,6 +29,7 @@
         val isCut: Boolean,
         val kills: Int,
         val leastServed: Double,
+        val isKilledInCut: Boolean = false,
     )
 
     private val cases = listOf(
@@ -36,6 +37,7 @@
         Case("calls refused, lost and late", faultShare = 0.2, isCut = false, kills = 0, leastServed = 0.9),
         Case("cuts from the store", faultShare = 0.0, isCut = true, kills = 0, leastServed = 0.9),
         Case("all routers killed once", faultShare = 0.0, isCut = false, kills = 1, leastServed = 0.9),
+        Case("kills within cuts", faultShare = 0.05, isCut = true, kills = 0, leastServed = 0.5, isKilledInCut = true),
         Case("kills, cuts and faults together", faultShare = 0.15, isCut = true, kills = 3, leastServed = 0.5),
     )
 
@@ -62,6 +64,11 @@
                     delay(random.nextLong(6_000, 12_000))
                     routers.forEach { it.router.setCut(true) }
                     delay(random.nextLong(2_000, 8_000))
+                    if (case.isKilledInCut) {
+                        routers.shuffled(random).take(random.nextInt(1, ROUTERS)).forEach { it.router.kill() }
+                        delay(random.nextLong(300, 3_000))
+                        routers.forEach { it.start() }
+                    }
                     routers.forEach { it.router.setCut(false) }
                 }
             }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
@@ -17,9 +17,15 @@
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.identity.SteadyClock
 import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.gateway.peer.CeilingNotice
+import org.heatherwind.gateway.peer.CeilingQuestion
+import org.heatherwind.gateway.peer.CeilingWitness
 import org.heatherwind.gateway.peer.LoanRequest
+import org.heatherwind.gateway.peer.WitnessName
+import org.heatherwind.gateway.peer.Witnesses
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.GatewayMetrics
+import java.net.InetSocketAddress
 import kotlin.random.Random
 
 /** The part of a router that keeps budgets, under virtual time, with one customer. It can be killed and started again. */
@@ -36,6 +42,7 @@
     private var scope: CoroutineScope? = null
     private var store: MemoryRecordStore? = null
     private var isCut = false
+    private var witness: CeilingWitness? = null
 
     /** The budgets of the process that runs, or null where none does. */
     var budgets: BudgetKeeper? = null
@@ -53,6 +60,7 @@
         scope?.cancel()
         scope = null
         budgets = null
+        witness = null
     }
 
     /** Starts a process and answers where its tasks run, or null where one runs already. */
@@ -64,7 +72,17 @@
         val own = MemoryRecordStore(records, random, test.backgroundScope, faultShare)
         own.isCut = isCut
         val log = DecisionLog(clock, GatewayMetrics())
-        val reports = RouterReports(self, own, clock, log, startedAt, ::timeOfDay, { false }, null)
+        val reports = RouterReports(
+            self = self,
+            store = own,
+            clock = clock,
+            log = log,
+            startedAt = startedAt,
+            timeOfDay = ::timeOfDay,
+            isLeaving = { false },
+            peerAddress = InetSocketAddress.createUnresolved(name, 1),
+            witnesses = PeerWitnesses(),
+        )
         val ledgers = BudgetLedgers(own, PARTITIONS)
         val keeper = BudgetKeeper(
             self = self,
@@ -79,6 +97,7 @@
             lender = { customer, needed -> borrow(customer, needed) },
         )
         budgets = keeper
+        witness = CeilingWitness(self)
         reports.budgets = keeper
         scope = life
         store = own
@@ -89,6 +108,7 @@
         }
         val follower = StreamFollower(own, RouterReports.partition, reports::followPace, clock, log, reports)
         life.launch { follower.run() }
+        life.launch { reports.runWitnessed() }
         life.launch {
             while (true) {
                 delay(TEND_MILLISECONDS)
@@ -98,6 +118,22 @@
         return life
     }
 
+    private inner class PeerWitnesses : Witnesses {
+        override suspend fun keep(witness: WitnessName, holder: String, ceilings: Map<String, Long>): Boolean {
+            delay(random.nextLong(1, 5))
+            val isKept = processOf(witness)?.keep(CeilingNotice(witness.incarnation, holder, ceilings))?.isKept == true
+            return isKept && random.nextDouble() >= faultShare
+        }
+
+        override suspend fun close(witness: WitnessName, holder: String): Map<String, Long>? {
+            delay(random.nextLong(1, 5))
+            return processOf(witness)?.close(CeilingQuestion(witness.incarnation, holder))?.ceilings
+        }
+
+        private fun processOf(witness: WitnessName) =
+            peers.firstOrNull { it.name == witness.address.substringBefore(':') }?.witness
+    }
+
     private fun timeOfDay() = Timestamp(EPOCH + test.currentTime)
 
     private suspend fun borrow(customer: CustomerId, needed: Long): Long {
