--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -65,18 +65,19 @@
      * Tokens that [holding] should have available at [now]: the cover, or its part of what the customer has left. The
      * last tokens are not divided ahead of use, since parts smaller than a request help none of the holders.
      */
-    public fun desiredTokens(holding: BudgetHolding, remainder: BudgetRemainder, now: Moment): Long {
+    public fun desiredTokens(holding: BudgetHolding, remainder: BudgetRemainder, holders: Int, now: Moment): Long {
         val demand = holding.demandPerSecond(now)
         if (remainder.isTooSmallToDivide(demand)) return 0
         val cover = demand * coverMilliseconds / MILLISECONDS_PER_SECOND * headroom
         val share = demand / (demand + remainder.demandElsewherePerSecond).coerceAtLeast(1.0)
         val part = remainder.tokens.coerceAtLeast(0) * share
-        return minOf(cover.toLong().coerceAtLeast(minimumTokens), part.toLong())
+        val minimum = minOf(minimumTokens, remainder.tokens / (holders.coerceAtLeast(1) * MINIMUM_DIVISOR))
+        return minOf(cover.toLong().coerceAtLeast(minimum), part.toLong())
     }
 
     /** Whether [holding] should ask for more now, before it runs out. */
-    public fun isRefillDue(holding: BudgetHolding, remainder: BudgetRemainder, now: Moment): Boolean =
-        holding.availableTokens < desiredTokens(holding, remainder, now) * REFILL_SHARE
+    public fun isRefillDue(holding: BudgetHolding, remainder: BudgetRemainder, holders: Int, now: Moment): Boolean =
+        holding.availableTokens < desiredTokens(holding, remainder, holders, now) * REFILL_SHARE
 
     /**
      * Whether [holding] has so much more than it needs that the rest should go back. While [freeTokens] of the budget are
@@ -86,11 +87,12 @@
         holding: BudgetHolding,
         remainder: BudgetRemainder,
         freeTokens: Long,
+        holders: Int,
         now: Moment,
     ): Boolean {
         val isAmple = freeTokens > remainder.tokens * AMPLE_FREE_SHARE
         if (isAmple && !remainder.isTooSmallToDivide(holding.demandPerSecond(now))) return false
-        return holding.availableTokens > desiredTokens(holding, remainder, now) * RETURN_SHARE
+        return holding.availableTokens > desiredTokens(holding, remainder, holders, now) * RETURN_SHARE
     }
 
     /** Tokens that a router asks for before its first request of a customer, so that the request need not wait. */
@@ -114,7 +116,7 @@
     ): Long {
         val granted = allocation.grantOf(holder)
         val free = prepaidTokens - allocation.allocatedTokens
-        val wanted = maxOf(desiredTokens(holding, remainder, now), neededTokens)
+        val wanted = maxOf(desiredTokens(holding, remainder, holders, now), neededTokens)
         val missing = wanted - (granted - holding.committedTokens)
         if (missing <= 0 || free <= 0) return (granted + minOf(missing, 0L)).coerceAtLeast(holding.committedTokens)
         val fairPart = (free * FAIR_PART_FACTOR / holders.coerceAtLeast(1)).toLong()
@@ -125,8 +127,8 @@
         /** The longest cut from the store on the users' days is 12 s. */
         public const val DEFAULT_COVER_MILLISECONDS: Long = 15_000
 
-        /** Arrivals of one customer at one router vary by about a half over some seconds. */
-        public const val DEFAULT_HEADROOM: Double = 1.5
+        /** Arrivals of one customer at one router vary; where one runs short, others lend. */
+        public const val DEFAULT_HEADROOM: Double = 1.2
 
         /** A few requests of the largest kind at their mean size, since a customer's demand at one router is uneven. */
         public const val DEFAULT_MINIMUM_TOKENS: Long = 50_000
@@ -136,6 +138,9 @@
         /** Asking at this share of the aim leaves seconds for the answer, and keeps changes rare. */
         private const val REFILL_SHARE = 0.5
 
+        /** Smallest holdings of all holders together take at most half of what is left. */
+        private const val MINIMUM_DIVISOR = 2
+
         /** With this share of what is left unallocated, a router in need finds tokens in the store. */
         private const val AMPLE_FREE_SHARE = 0.15
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -249,7 +249,7 @@
         const val BODY_MEMORY_DIVISOR = 8
 
         /** A change must be in force within two seconds; changes are rare, so each read waits for one. */
-        val PLAN_PACE = FollowPace(waitMilliseconds = 800, pauseMilliseconds = 100)
+        val PLAN_PACE = FollowPace(waitMilliseconds = 800, pauseMilliseconds = 100, isSkipping = true)
 
         /** A leaving target gets no work after two seconds; entries change all the time, so reads are spaced. */
         val TARGET_PACE = FollowPace(waitMilliseconds = 0, pauseMilliseconds = 400)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -65,7 +65,7 @@
     private fun reserveAtOnce(account: Account, tokens: Long): Boolean {
         val now = clock.now()
         if (!account.holding.tryReserve(tokens, now)) return false
-        if (policy.isRefillDue(account.holding, remainderOf(account), now)) refill(account, neededTokens = 0)
+        if (policy.isRefillDue(account.holding, remainderOf(account), reports.liveCount(), now)) refill(account, neededTokens = 0)
         if (account.holding.isCeilingLow(now)) reports.wantPublished()
         return true
     }
@@ -102,10 +102,17 @@
         if (customerOf(customer) == null) return 0
         val account = accountOf(customer)
         val lent = account.holding.lend(request.wantedTokens, clock.now())
+        if (lent < request.wantedTokens) raiseCeilingFor(account, request.wantedTokens * 2)
         log.belief("budget", "Another router asked for tokens.", "customer" to request.customer, "lent" to lent)
         return lent
     }
 
+    /** Has the next report allow [tokens] more, so that another router that asks again finds them. */
+    private fun raiseCeilingFor(account: Account, tokens: Long) {
+        account.neededTokens = maxOf(account.neededTokens, tokens)
+        reports.wantPublished()
+    }
+
     private fun accountOf(customer: CustomerId): Account =
         accounts.getOrPut(customer) { Account(customer, BudgetHolding(clock.now())) }
 
@@ -193,8 +200,9 @@
         val now = clock.now()
         accounts.values.forEach { account ->
             val remainder = remainderOf(account)
-            val isDue = policy.isReturnDue(account.holding, remainder, freeTokens(account), now) ||
-                policy.isRefillDue(account.holding, remainder, now)
+            val holders = reports.liveCount()
+            val isDue = policy.isReturnDue(account.holding, remainder, freeTokens(account), holders, now) ||
+                policy.isRefillDue(account.holding, remainder, holders, now)
             if (isDue && account.holding.availableTokens != 0L && !account.isClosing) refill(account, neededTokens = 0)
         }
         prime()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -34,7 +34,7 @@
 
     /** Reads what was added. Answers whether the copy is now up to date. */
     suspend fun refresh(): Boolean {
-        val from = nextOffset
+        val from = nextOffset.takeUnless { isWide() }
         val read = if (from == null) store.newest(partition) else store.read(partition, from)
         when (read) {
             is StreamRead.Records -> {
@@ -53,6 +53,9 @@
         return isCurrent
     }
 
+    /** Whether allocations have so many holders that most records are replaced before they are read. */
+    private fun isWide(): Boolean = allocations.values.any { it.grants.size > WIDE_HOLDERS }
+
     /** Has the next change read the partition first. */
     fun distrust() {
         isCurrent = false
@@ -100,6 +103,9 @@
 
     private companion object {
         const val CLOSED = "closed"
+
+        /** From about here on, the records that all holders append outweigh the newest ones. */
+        const val WIDE_HOLDERS = 16
         const val CERTAIN = "certain"
         const val GRANTS = "grants"
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
@@ -30,11 +30,14 @@
  * @property pauseMilliseconds time between reads
  * @property isNewestOnly whether each read takes the newest record of each key, which costs less where most records are
  *   replaced before they are read
+ * @property isSkipping whether records that newer ones of the same key replaced are left out, which costs less where
+ *   records are large and come in quick succession
  */
 internal data class FollowPace(
     val waitMilliseconds: Long,
     val pauseMilliseconds: Long,
     val isNewestOnly: Boolean = false,
+    val isSkipping: Boolean = false,
 )
 
 /**
@@ -51,12 +54,13 @@
 ) {
     private var nextOffset: Long? = null
     private var lostAt: Moment? = null
+    private var isLastReadLarge = false
 
     /** Reads until it is cancelled. */
     suspend fun run() {
         while (currentCoroutineContext().isActive) {
             step()
-            delay(pace().pauseMilliseconds)
+            delay(pace().pauseMilliseconds + if (isLastReadLarge) LARGE_PAUSE_MILLISECONDS else 0)
         }
     }
 
@@ -64,9 +68,15 @@
     suspend fun step() {
         val pace = pace()
         val from = nextOffset.takeUnless { pace.isNewestOnly }
-        val read = if (from == null) store.newest(partition) else store.read(partition, from, pace.waitMilliseconds)
+        isLastReadLarge = false
+        val read = when {
+            from == null -> store.newest(partition)
+            pace.isSkipping -> readSkipping(from, pace)
+            else -> store.read(partition, from, pace.waitMilliseconds)
+        }
         when (read) {
             is StreamRead.Records -> {
+                isLastReadLarge = read.records.sumOf { it.value?.size ?: 0 } > LARGE_BYTES
                 if (from == null) subscriber.onSnapshot(read.records) else subscriber.onRecords(read.records)
                 nextOffset = read.nextOffset
                 noteRegained()
@@ -81,6 +91,16 @@
         }
     }
 
+    /** Reads the first new record, then the last one. Where they have different keys, all newest records are read. */
+    private suspend fun readSkipping(from: Long, pace: FollowPace): StreamRead {
+        val first = store.read(partition, from, pace.waitMilliseconds, SMALLEST_READ_KILOBYTES)
+        if (first !is StreamRead.Records || first.nextOffset >= first.endOffset) return first
+        val last = store.read(partition, first.endOffset - 1)
+        if (last !is StreamRead.Records) return last
+        val keys = (first.records + last.records).mapTo(HashSet()) { it.key }
+        return if (first.records.isNotEmpty() && keys.size == 1) last else store.newest(partition)
+    }
+
     private fun noteRegained() {
         val now = clock.now()
         val lost = lostAt
@@ -100,4 +120,15 @@
         lostAt = clock.now()
         log.dependency("store", "Cannot read $partition.", "reason" to reason)
     }
+
+    private companion object {
+        /** The store answers with one record at least, however large. */
+        const val SMALLEST_READ_KILOBYTES = 1
+
+        /** Takes about 0.1 s on the slowest links of the users' instances. */
+        const val LARGE_BYTES = 100_000
+
+        /** Leaves most of a slow link to requests while large records come in quick succession. */
+        const val LARGE_PAUSE_MILLISECONDS = 500L
+    }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/store/RecordStore.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/store/RecordStore.kt
@@ -14,8 +14,12 @@
 
 /** What reading from an offset gave. */
 public sealed interface StreamRead {
-    /** [records] in order, and the offset after the last one read. */
-    public class Records(public val records: List<KeyedRecord>, public val nextOffset: Long) : StreamRead
+    /** [records] in order, the offset after the last one read, and that after the last one kept. */
+    public class Records(
+        public val records: List<KeyedRecord>,
+        public val nextOffset: Long,
+        public val endOffset: Long = nextOffset,
+    ) : StreamRead
 
     /** The records at the offset have expired. */
     public data object Expired : StreamRead
@@ -59,8 +63,13 @@
 
 /** The store's keyed streams: records with offsets, of which the newest of each key is kept for good. */
 public interface RecordStore {
-    /** Records of [partition] from offset [from] on; empty when none come within [waitMilliseconds]. */
-    public suspend fun read(partition: StreamPartition, from: Long, waitMilliseconds: Long = 0): StreamRead
+    /** Records of [partition] from offset [from] on, as many as fit; none when none come within [waitMilliseconds]. */
+    public suspend fun read(
+        partition: StreamPartition,
+        from: Long,
+        waitMilliseconds: Long = 0,
+        maximumKilobytes: Int = DEFAULT_READ_KILOBYTES,
+    ): StreamRead
 
     /** The newest record of each key of [partition]. */
     public suspend fun newest(partition: StreamPartition): StreamRead
@@ -71,4 +80,9 @@
         records: List<NewRecord>,
         condition: AppendCondition,
     ): StreamAppend
+
+    public companion object {
+        /** The store's own default. */
+        public const val DEFAULT_READ_KILOBYTES: Int = 1_024
+    }
 }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
@@ -57,7 +57,12 @@
     /** Whether nothing passes in either direction. */
     var isCut = false
 
-    override suspend fun read(partition: StreamPartition, from: Long, waitMilliseconds: Long): StreamRead {
+    override suspend fun read(
+        partition: StreamPartition,
+        from: Long,
+        waitMilliseconds: Long,
+        maximumKilobytes: Int,
+    ): StreamRead {
         delay(LATENCY_MILLISECONDS + random.nextLong(LATENCY_MILLISECONDS))
         if (isCut || random.nextDouble() < faultShare) return unavailable()
         val kept = records.of(partition)
