--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -68,7 +68,7 @@
         proposed = ConfirmedCeiling(ceiling, sentAt)
     }
 
-    /** Notes that the store confirmed [confirmed] in a call sent at [sentAt]. What a witness confirmed ends with that. */
+    /** Notes that the store confirmed [confirmed] in a call sent at [sentAt]. A witness's word ends with that. */
     public fun confirm(confirmed: SpendCeiling, sentAt: Moment) {
         ceiling = ConfirmedCeiling(confirmed, sentAt)
         proposed = null
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -80,8 +80,8 @@
         holding.availableTokens < desiredTokens(holding, remainder, holders, now) * REFILL_SHARE
 
     /**
-     * Whether [holding] has so much more than it needs that the rest should go back. While [freeTokens] of the budget are
-     * ample, nobody needs the rest, and the change is left out.
+     * Whether [holding] has so much more than it needs that the rest should go back. While [freeTokens] of the budget
+     * are ample, nobody needs the rest, and the change is left out.
      */
     public fun isReturnDue(
         holding: BudgetHolding,
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
@@ -26,8 +26,8 @@
     }
 
     /**
-     * The most that may be charged with a witness's word when the store last confirmed this ceiling [elapsedMilliseconds]
-     * ago. It bounds what is lost where the witness is gone too.
+     * The most that may be charged with a witness's word when the store last confirmed this ceiling
+     * [elapsedMilliseconds] ago. It bounds what is lost where the witness is gone too.
      */
     public fun witnessedAfter(elapsedMilliseconds: Long): Long =
         tokens + releaseTokens * WITNESSED_RELEASES + grown(elapsedMilliseconds, WITNESSED_SHARE)
@@ -45,8 +45,8 @@
         /** After a silence of this length a router has its ceilings confirmed by a witness in place of the store. */
         public const val WITNESS_MILLISECONDS: Long = 2_600
 
-        /** Demand may more than double for some seconds while a witness keeps the ceiling. */
-        private const val WITNESSED_SHARE = 2.5
+        /** Demand may rise by a half meanwhile; a larger part would be lost where the witness dies too. */
+        private const val WITNESSED_SHARE = 1.5
 
         /** Room for a few large requests beside the demand. */
         private const val WITNESSED_RELEASES = 5
--- a/core/src/test/kotlin/org/heatherwind/core/retry/RetryAllowanceTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/retry/RetryAllowanceTest.kt
@@ -9,13 +9,7 @@
 
 /** Given an allowance for further sends, when sends come at any pace, then each window keeps the bound. */
 class RetryAllowanceTest {
-    private class Case(
-        val name: String,
-        val firstSends: Int,
-        val base: Double,
-        val routers: Int = 1,
-        val granted: Int,
-    )
+    private class Case(val name: String, val firstSends: Int, val base: Double, val routers: Int = 1, val granted: Int)
 
     private val cases = listOf(
         Case("nothing sent", firstSends = 0, base = 0.0, granted = 0),
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.heatherwind.core.escrow.GrantPolicy
 import org.heatherwind.core.identity.Clock
+import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.SteadyClock
 import org.heatherwind.core.identity.Timestamp
@@ -43,9 +44,13 @@
 import org.heatherwind.gateway.serve.TargetClient
 import org.heatherwind.gateway.state.BudgetKeeper
 import org.heatherwind.gateway.state.BudgetLedgers
+import org.heatherwind.gateway.state.BudgetOutlook
+import org.heatherwind.gateway.state.EarlierProcesses
 import org.heatherwind.gateway.state.FleetDocuments
 import org.heatherwind.gateway.state.FleetState
 import org.heatherwind.gateway.state.FollowPace
+import org.heatherwind.gateway.state.GrantChanger
+import org.heatherwind.gateway.state.KnownReports
 import org.heatherwind.gateway.state.PlanSubscriber
 import org.heatherwind.gateway.state.PredecessorGrants
 import org.heatherwind.gateway.state.RetryKeeper
@@ -85,16 +90,20 @@
     private val stopped = CompletableDeferred<Unit>()
     private val client = TargetClient(eventLoop, clock)
     private val peerClient = PeerClient(HttpCaller(eventLoop, clock), log)
+    private val witnesses = WitnessClient(peerClient)
+    private val known = KnownReports(self, clock, log)
+    private val earlier = EarlierProcesses(self, startedAt, witnesses, log)
     private val reports = RouterReports(
         self = self,
         store = store,
         clock = clock,
         log = log,
-        startedAt = startedAt,
+        known = known,
+        earlier = earlier,
         timeOfDay = Clock.system::now,
         isLeaving = { isDraining },
         peerAddress = settings.peerAddress,
-        witnesses = WitnessClient(peerClient),
+        witnesses = witnesses,
     )
     private val witness = CeilingWitness(self)
     private val retries = RetryKeeper(
@@ -103,22 +112,26 @@
             base = settings.retryBase * RETRY_MARGIN,
             windowMilliseconds = settings.retryWindowMilliseconds,
         ),
-    ) { reports.liveCount() }
+    ) { known.liveCount() }
     private val bodyMemory = BodyMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
     private val ledgers = BudgetLedgers(store, settings.budgetPartitions)
+    private val customerOf = { id: CustomerId -> state.routes?.customerNamed(id) }
+    private val outlook = BudgetOutlook(ledgers, known, customerOf)
+    private val policy = GrantPolicy()
     private val budgets = BudgetKeeper(
-        self = self,
-        ledgers = ledgers,
+        grants = GrantChanger(self, ledgers, outlook, known, policy, clock, log, customerOf),
+        outlook = outlook,
         scope = scope,
         clock = clock,
         log = log,
-        policy = GrantPolicy(),
+        policy = policy,
         customers = { state.routes?.plan?.customers.orEmpty() },
-        customerOf = { id -> state.routes?.customerNamed(id) },
+        customerOf = customerOf,
         reports = reports,
-        lender = LoanClient(peerClient, log) { customer -> reports.lendersOf(customer) },
+        known = known,
+        lender = LoanClient(peerClient, log) { customer -> known.lendersOf(customer) },
     )
-    private val announcements = PlacementAnnouncements(group, clock, log, { reports.peers() }, { state.loadOf(it) })
+    private val announcements = PlacementAnnouncements(group, clock, log, { known.peers() }, { state.loadOf(it) })
     private val listener = CallerListener(
         group,
         CallerContext(
@@ -138,7 +151,7 @@
                     clock = clock,
                     log = log,
                     metrics = metrics,
-                    routers = { reports.liveCount() },
+                    routers = { known.liveCount() },
                 ),
             ),
         ),
@@ -159,11 +172,11 @@
         registerGauges()
         follow(PLAN_PACE, documents.planPartition, PlanSubscriber(state, documents, log))
         follow(TARGET_PACE, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
-        val reportFollower = StreamFollower(store, RouterReports.partition, reports::followPace, clock, log, reports)
+        val reportFollower = StreamFollower(store, RouterReports.partition, known::followPace, clock, log, known)
         scope.launch { reportFollower.run() }
         reports.budgets = budgets
         scope.launch {
-            reports.run(onEstablished = { scope.launch { PredecessorGrants(self, ledgers, reports, log).closeAll() } })
+            reports.run(onEstablished = { scope.launch { PredecessorGrants(self, ledgers, earlier, log).closeAll() } })
         }
         scope.launch { reports.runWitnessed() }
         scope.launch { tend() }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/CeilingWitness.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/CeilingWitness.kt
@@ -3,8 +3,8 @@
 import org.heatherwind.core.identity.Incarnation
 
 /**
- * Keeps ceilings of other routers that cannot reach the store, for their successors. After a successor asked, ceilings of
- * its predecessor are refused, so that none is raised behind its back.
+ * Keeps ceilings of other routers that cannot reach the store, for their successors. After a successor asked, ceilings
+ * of its predecessor are refused, so that none is raised behind its back.
  */
 internal class CeilingWitness(private val self: Incarnation) {
     private val kept = HashMap<String, Map<String, Long>>()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/WitnessClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/WitnessClient.kt
@@ -16,7 +16,8 @@
     override suspend fun keep(witness: WitnessName, holder: String, ceilings: Map<String, Long>): Boolean {
         val notice = CeilingNotice(witness.incarnation, holder, ceilings)
         val address = addressOf(witness) ?: return false
-        return client.ask(address, KEEP, notice, CeilingNotice.serializer(), CeilingReceipt.serializer())?.isKept == true
+        val receipt = client.ask(address, KEEP, notice, CeilingNotice.serializer(), CeilingReceipt.serializer())
+        return receipt?.isKept == true
     }
 
     override suspend fun close(witness: WitnessName, holder: String): Map<String, Long>? {
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetAccount.kt
@@ -0,0 +1,42 @@
+package org.heatherwind.gateway.state
+
+import kotlinx.coroutines.CompletableDeferred
+import org.heatherwind.core.escrow.BudgetHolding
+import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Moment
+
+/** What this router holds of one customer's budget, and what it waits for. */
+internal class BudgetAccount(val id: CustomerId, val holding: BudgetHolding) {
+    /** The change of the grant that is under way. */
+    var change: CompletableDeferred<GrantChange>? = null
+
+    /** When other routers may be asked again. */
+    var nextBorrowing = Moment.distantPast
+
+    /** When a refill ahead of need may read the store for tokens that others gave back. */
+    var nextReading = Moment.distantPast
+
+    /** Whether the grant is being closed for good. */
+    var isClosing = false
+
+    /** The largest request that waits for a higher ceiling. */
+    var neededTokens = 0L
+
+    /** Whether the store answered when it was last asked. */
+    var isStoreCurrent = false
+
+    /** The most that is used while the outcome of a change is unknown. */
+    var certainTokens = Long.MAX_VALUE
+}
+
+/** How a change of a grant ended. */
+internal enum class GrantChange {
+    /** The store holds the new grant. */
+    DONE,
+
+    /** The store shows nothing that could be added. */
+    SHORT,
+
+    /** The store did not confirm a change. */
+    FAILED,
+}
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -6,19 +6,14 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.escrow.BudgetHolding
-import org.heatherwind.core.escrow.BudgetRemainder
 import org.heatherwind.core.escrow.GrantPolicy
-import org.heatherwind.core.escrow.HolderCharge
 import org.heatherwind.core.fleet.Customer
 import org.heatherwind.core.identity.CustomerId
-import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.identity.SteadyClock
 import org.heatherwind.gateway.peer.LoanRequest
 import org.heatherwind.gateway.peer.TokenLender
-import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.telemetry.DecisionLog
 
 /** Whether a request's worst case could be reserved. */
@@ -34,12 +29,12 @@
 }
 
 /**
- * Holds this router's grants. A grant grows and shrinks by conditional appends to the store, so that the grants of all
- * routers together never exceed what was prepaid. Confined to the event loop.
+ * Reserves tokens of customers' budgets for requests, and gathers more where this router holds too few: from the store,
+ * by a higher ceiling, or from other routers. Confined to the event loop.
  */
 internal class BudgetKeeper(
-    private val self: Incarnation,
-    private val ledgers: BudgetLedgers,
+    private val grants: GrantChanger,
+    private val outlook: BudgetOutlook,
     private val scope: CoroutineScope,
     private val clock: SteadyClock,
     private val log: DecisionLog,
@@ -47,9 +42,11 @@
     private val customers: () -> List<Customer>,
     private val customerOf: (CustomerId) -> Customer?,
     private val reports: RouterReports,
+    private val known: KnownReports,
     private val lender: TokenLender,
 ) : ReportedBudgets {
-    private val accounts = HashMap<CustomerId, Account>()
+    private val accounts = HashMap<CustomerId, BudgetAccount>()
+    private var isLeaving = false
 
     /** Reserves [tokens] for [customer], and waits for more until [until] where this router holds too little. */
     suspend fun reserve(customer: Customer, tokens: Long, until: Moment): BudgetDecision {
@@ -62,24 +59,23 @@
         return BudgetDecision.Reserved(BudgetReservation(account.holding, tokens))
     }
 
-    private fun reserveAtOnce(account: Account, tokens: Long): Boolean {
+    private fun reserveAtOnce(account: BudgetAccount, tokens: Long): Boolean {
         val now = clock.now()
         if (!account.holding.tryReserve(tokens, now)) return false
-        if (policy.isRefillDue(account.holding, remainderOf(account), reports.liveCount(), now)) refill(account, neededTokens = 0)
+        val isRefillDue = policy.isRefillDue(account.holding, outlook.remainderOf(account), known.liveCount(), now)
+        if (isRefillDue) refill(account, neededTokens = 0)
         if (account.holding.isCeilingLow(now)) reports.wantPublished()
         return true
     }
 
-    private suspend fun reserveWithin(account: Account, tokens: Long, until: Moment): Boolean {
+    private suspend fun reserveWithin(account: BudgetAccount, tokens: Long, until: Moment): Boolean {
         val wait = until.millisecondsSince(clock.now()).coerceAtLeast(1)
         return withTimeoutOrNull(wait) { reserveWithMore(account, tokens) } ?: false
     }
 
     /** Says "exhausted" only where what was certainly charged leaves too little. */
-    private fun refuse(account: Account, prepaid: Long, tokens: Long): BudgetDecision {
-        val allocation = allocationOf(account)
-        val charged = reports.usedElsewhere(account.id, allocation) + account.holding.usedTokens +
-            allocation.certainClosedTokens
+    private fun refuse(account: BudgetAccount, prepaid: Long, tokens: Long): BudgetDecision {
+        val charged = outlook.chargedAtLeast(account)
         val isShort = account.isStoreCurrent && prepaid - charged < tokens
         log.belief(
             "budget",
@@ -108,16 +104,16 @@
     }
 
     /** Has the next report allow [tokens] more, so that another router that asks again finds them. */
-    private fun raiseCeilingFor(account: Account, tokens: Long) {
+    private fun raiseCeilingFor(account: BudgetAccount, tokens: Long) {
         account.neededTokens = maxOf(account.neededTokens, tokens)
         reports.wantPublished()
     }
 
-    private fun accountOf(customer: CustomerId): Account =
-        accounts.getOrPut(customer) { Account(customer, BudgetHolding(clock.now())) }
+    private fun accountOf(customer: CustomerId): BudgetAccount =
+        accounts.getOrPut(customer) { BudgetAccount(customer, BudgetHolding(clock.now())) }
 
     /** Asks other routers for what is missing of [tokens]. Answers whether any tokens came. */
-    private suspend fun borrow(account: Account, tokens: Long): Boolean {
+    private suspend fun borrow(account: BudgetAccount, tokens: Long): Boolean {
         if (clock.now() < account.nextBorrowing) return false
         account.nextBorrowing = clock.now().plusMilliseconds(BORROW_PAUSE_MILLISECONDS)
         val missing = tokens - account.holding.reservableTokens(clock.now())
@@ -128,7 +124,7 @@
     }
 
     /** Reserves [tokens] after the grant or the ceiling was raised; false when no more tokens are free. */
-    private suspend fun reserveWithMore(account: Account, tokens: Long): Boolean {
+    private suspend fun reserveWithMore(account: BudgetAccount, tokens: Long): Boolean {
         while (!account.holding.tryReserve(tokens, clock.now())) {
             val isHopeful = if (account.holding.availableTokens < tokens) {
                 awaitGrant(account, tokens)
@@ -142,25 +138,26 @@
     }
 
     /** Waits for a larger grant. Answers whether one may still come. */
-    private suspend fun awaitGrant(account: Account, tokens: Long): Boolean = when (refill(account, tokens).await()) {
-        GrantChange.DONE -> true
+    private suspend fun awaitGrant(account: BudgetAccount, tokens: Long): Boolean =
+        when (refill(account, tokens).await()) {
+            GrantChange.DONE -> true
 
-        GrantChange.SHORT -> uncommittedTokens(account) >= tokens && awaitOthers(account, tokens)
+            GrantChange.SHORT -> outlook.uncommittedTokens(account) >= tokens && awaitOthers(account, tokens)
 
-        GrantChange.FAILED -> {
-            val isLent = borrow(account, tokens)
-            if (!isLent) delay(RETRY_PAUSE_MILLISECONDS)
-            isLent || !reports.isStoreLost()
+            GrantChange.FAILED -> {
+                val isLent = borrow(account, tokens)
+                if (!isLent) delay(RETRY_PAUSE_MILLISECONDS)
+                isLent || !reports.isStoreLost()
+            }
         }
-    }
 
     /** Borrows what others hold and have not promised, or waits until they give it back. */
-    private suspend fun awaitOthers(account: Account, tokens: Long): Boolean {
+    private suspend fun awaitOthers(account: BudgetAccount, tokens: Long): Boolean {
         if (!borrow(account, tokens)) delay(SHORT_PAUSE_MILLISECONDS)
         return true
     }
 
-    private suspend fun awaitCeiling(account: Account, tokens: Long) {
+    private suspend fun awaitCeiling(account: BudgetAccount, tokens: Long) {
         account.neededTokens = maxOf(account.neededTokens, tokens)
         if (reports.isStoreSilent() && borrow(account, tokens)) return
         withTimeoutOrNull(CEILING_PAUSE_MILLISECONDS) { reports.publishSoon() }
@@ -170,7 +167,7 @@
         val now = clock.now()
         return accounts.mapValues { (_, account) ->
             val demand = account.holding.demandPerSecond(now)
-            val ceiling = account.holding.nextCeiling(now, account.neededTokens, remainderOf(account))
+            val ceiling = account.holding.nextCeiling(now, account.neededTokens, outlook.remainderOf(account))
             account.neededTokens = 0
             BudgetReport(
                 usedTokens = account.holding.usedTokens,
@@ -199,9 +196,9 @@
     fun tend() {
         val now = clock.now()
         accounts.values.forEach { account ->
-            val remainder = remainderOf(account)
-            val holders = reports.liveCount()
-            val isDue = policy.isReturnDue(account.holding, remainder, freeTokens(account), holders, now) ||
+            val remainder = outlook.remainderOf(account)
+            val holders = known.liveCount()
+            val isDue = policy.isReturnDue(account.holding, remainder, outlook.freeTokens(account), holders, now) ||
                 policy.isRefillDue(account.holding, remainder, holders, now)
             if (isDue && account.holding.availableTokens != 0L && !account.isClosing) refill(account, neededTokens = 0)
         }
@@ -209,27 +206,28 @@
     }
 
     private fun prime() {
-        if (accounts.size >= MAXIMUM_PRIMED || reports.isStoreSilent()) return
+        if (isLeaving || accounts.size >= MAXIMUM_PRIMED || reports.isStoreSilent()) return
         val customer = customers().filter { it.id !in accounts && it.prepaidTokens != null }.randomOrNull() ?: return
         val account = accountOf(customer.id)
-        refill(account, policy.primingTokens(customer.prepaidTokens ?: 0, reports.liveCount()))
+        refill(account, policy.primingTokens(customer.prepaidTokens ?: 0, known.liveCount()))
     }
 
     /** Gives back everything that is not committed, before the process ends. */
     suspend fun returnAll() {
+        isLeaving = true
         val held = accounts.values.filter { it.holding.grantedTokens != 0L }
         held.forEach { it.isClosing = true }
         held.map { refill(it, neededTokens = 0) }.awaitAll()
     }
 
-    private fun refill(account: Account, neededTokens: Long): CompletableDeferred<GrantChange> {
+    private fun refill(account: BudgetAccount, neededTokens: Long): CompletableDeferred<GrantChange> {
         account.change?.let { return it }
         val change = CompletableDeferred<GrantChange>()
         account.change = change
         scope.launch {
             var result = GrantChange.FAILED
             try {
-                result = changeGrant(account, neededTokens)
+                result = grants.change(account, neededTokens)
             } finally {
                 account.change = null
                 change.complete(result)
@@ -238,133 +236,6 @@
         return change
     }
 
-    private suspend fun changeGrant(account: Account, neededTokens: Long): GrantChange {
-        val ledger = ledgers.of(account.id)
-        var isFresh = false
-        repeat(BudgetLedgers.MAXIMUM_CONFLICTS) {
-            if (!ledger.isCurrent) {
-                isFresh = ledger.refresh()
-                account.isStoreCurrent = isFresh
-                if (!isFresh) return GrantChange.FAILED
-            }
-            val allocation = ledger.allocationOf(account.id)
-            val before = allocation.grantOf(self)
-            account.holding.setGranted(minOf(before, account.certainTokens))
-            val after = aim(account, allocation, neededTokens)
-            val isUncertain = account.certainTokens < before
-            if (after == before && !isUncertain) {
-                if (isFresh || !isReadDue(account, neededTokens)) return GrantChange.SHORT
-                ledger.distrust()
-                return@repeat
-            }
-            if (after < before) account.holding.setGranted(after)
-            val changed = if (account.isClosing) {
-                allocation.closing(self, HolderCharge.exactly(account.holding.committedTokens))
-            } else {
-                allocation.withGrant(self, after)
-            }
-            when (val append = ledger.append(mapOf(account.id to changed))) {
-                is StreamAppend.Appended -> {
-                    account.holding.setGranted(after)
-                    account.certainTokens = Long.MAX_VALUE
-                    logChange(account, before, after, changed)
-                    return GrantChange.DONE
-                }
-
-                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(BudgetLedgers.conflictPause())
-
-                is StreamAppend.Rejected, is StreamAppend.Unknown -> {
-                    if (append is StreamAppend.Unknown) distrust(account, minOf(before, after))
-                    return unconfirmed(account, append)
-                }
-            }
-        }
-        return GrantChange.FAILED
-    }
-
-    /** Whether a copy that shows nothing free should be read anew, since others may have given back tokens. */
-    private fun isReadDue(account: Account, neededTokens: Long): Boolean {
-        val now = clock.now()
-        if (neededTokens == 0L && now < account.nextReading) return false
-        account.nextReading = now.plusMilliseconds(READ_PAUSE_MILLISECONDS)
-        return true
-    }
-
-    /** Keeps to [tokens] until a change is confirmed, since the one that got no answer may take effect later. */
-    private fun distrust(account: Account, tokens: Long) {
-        account.certainTokens = minOf(account.certainTokens, tokens)
-        account.holding.setGranted(account.certainTokens)
-    }
-
-    private fun unconfirmed(account: Account, append: StreamAppend): GrantChange {
-        log.belief("budget", "A grant was not confirmed.", "customer" to account.id.value, "outcome" to append)
-        return GrantChange.FAILED
-    }
-
-    private fun aim(account: Account, allocation: BudgetAllocation, neededTokens: Long): Long {
-        if (account.isClosing) return account.holding.committedTokens
-        val prepaid = customerOf(account.id)?.prepaidTokens ?: return allocation.grantOf(self)
-        return policy.grantFor(
-            self,
-            account.holding,
-            allocation,
-            prepaid,
-            remainderOf(account),
-            reports.liveCount(),
-            neededTokens,
-            clock.now(),
-        )
-    }
-
-    /** Tokens that no router has promised to a request; the rest of the grants may come back. */
-    private fun uncommittedTokens(account: Account): Long =
-        tokensBesideClosed(account) - reports.committedElsewhere(account.id, allocationOf(account))
-
-    /** What the customer has left, by the last read of its allocation and the last reports of use. */
-    private fun remainderOf(account: Account) = BudgetRemainder(
-        tokens = tokensBesideClosed(account) - reports.usedElsewhere(account.id, allocationOf(account)),
-        demandElsewherePerSecond = reports.demandElsewhere(account.id),
-    )
-
-    /** Prepaid tokens without what closed grants were charged and what this router committed. */
-    private fun tokensBesideClosed(account: Account): Long {
-        val prepaid = customerOf(account.id)?.prepaidTokens ?: 0
-        return prepaid - allocationOf(account).closedTokens - account.holding.committedTokens
-    }
-
-    private fun freeTokens(account: Account): Long =
-        (customerOf(account.id)?.prepaidTokens ?: 0) - allocationOf(account).allocatedTokens
-
-    private fun allocationOf(account: Account): BudgetAllocation = ledgers.of(account.id).allocationOf(account.id)
-
-    private fun logChange(account: Account, before: Long, after: Long, allocation: BudgetAllocation): Unit = log.belief(
-        "budget",
-        "A grant changed.",
-        "customer" to account.id.value,
-        "before" to before,
-        "after" to after,
-        "used" to account.holding.usedTokens,
-        "allocated" to allocation.allocatedTokens,
-    )
-
-    private class Account(val id: CustomerId, val holding: BudgetHolding) {
-        var change: CompletableDeferred<GrantChange>? = null
-        var nextBorrowing = Moment.distantPast
-
-        /** When a refill ahead of need may read the store for tokens that others gave back. */
-        var nextReading = Moment.distantPast
-        var isClosing = false
-
-        /** The largest request that waits for a higher ceiling. */
-        var neededTokens = 0L
-        var isStoreCurrent = false
-
-        /** The most that is used while the outcome of a change is unknown. */
-        var certainTokens = Long.MAX_VALUE
-    }
-
-    private enum class GrantChange { DONE, SHORT, FAILED }
-
     private companion object {
         /** Other routers give back what they do not need a few times a second. */
         const val SHORT_PAUSE_MILLISECONDS = 120L
@@ -372,9 +243,6 @@
         /** While reports get no answer, the ceiling grows with time, so it is looked at this often. */
         const val CEILING_PAUSE_MILLISECONDS = 50L
 
-        /** Twice the time in which others notice what they need not hold. */
-        const val READ_PAUSE_MILLISECONDS = 500L
-
         /** Routers that had too little to spare are asked again after this. */
         const val BORROW_PAUSE_MILLISECONDS = 100L
 
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantChanger.kt
@@ -0,0 +1,122 @@
+package org.heatherwind.gateway.state
+
+import kotlinx.coroutines.delay
+import org.heatherwind.core.escrow.BudgetAllocation
+import org.heatherwind.core.escrow.GrantPolicy
+import org.heatherwind.core.escrow.HolderCharge
+import org.heatherwind.core.fleet.Customer
+import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.gateway.store.StreamAppend
+import org.heatherwind.gateway.telemetry.DecisionLog
+
+/**
+ * Changes this router's grants by conditional appends to the store, so that the grants of all routers together never
+ * exceed what was prepaid.
+ */
+internal class GrantChanger(
+    private val self: Incarnation,
+    private val ledgers: BudgetLedgers,
+    private val outlook: BudgetOutlook,
+    private val known: KnownReports,
+    private val policy: GrantPolicy,
+    private val clock: SteadyClock,
+    private val log: DecisionLog,
+    private val customerOf: (CustomerId) -> Customer?,
+) {
+    /** Brings the grant of [account] to what the policy says, [neededTokens] of an open request included. */
+    suspend fun change(account: BudgetAccount, neededTokens: Long): GrantChange {
+        val ledger = ledgers.of(account.id)
+        var isFresh = false
+        repeat(BudgetLedgers.MAXIMUM_CONFLICTS) {
+            if (!ledger.isCurrent) {
+                isFresh = ledger.refresh()
+                account.isStoreCurrent = isFresh
+                if (!isFresh) return GrantChange.FAILED
+            }
+            val allocation = ledger.allocationOf(account.id)
+            val before = allocation.grantOf(self)
+            account.holding.setGranted(minOf(before, account.certainTokens))
+            val after = aim(account, allocation, neededTokens)
+            val isUncertain = account.certainTokens < before
+            if (after == before && !isUncertain) {
+                if (isFresh || !isReadDue(account, neededTokens)) return GrantChange.SHORT
+                ledger.distrust()
+                return@repeat
+            }
+            if (after < before) account.holding.setGranted(after)
+            val changed = if (account.isClosing) {
+                allocation.closing(self, HolderCharge.exactly(account.holding.committedTokens))
+            } else {
+                allocation.withGrant(self, after)
+            }
+            when (val append = ledger.append(mapOf(account.id to changed))) {
+                is StreamAppend.Appended -> {
+                    account.holding.setGranted(after)
+                    account.certainTokens = Long.MAX_VALUE
+                    logChange(account, before, after, changed)
+                    return GrantChange.DONE
+                }
+
+                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(BudgetLedgers.conflictPause())
+
+                is StreamAppend.Rejected, is StreamAppend.Unknown -> {
+                    if (append is StreamAppend.Unknown) distrust(account, minOf(before, after))
+                    return unconfirmed(account, append)
+                }
+            }
+        }
+        return GrantChange.FAILED
+    }
+
+    /** Whether a copy that shows nothing free should be read anew, since others may have given back tokens. */
+    private fun isReadDue(account: BudgetAccount, neededTokens: Long): Boolean {
+        val now = clock.now()
+        if (neededTokens == 0L && now < account.nextReading) return false
+        account.nextReading = now.plusMilliseconds(READ_PAUSE_MILLISECONDS)
+        return true
+    }
+
+    /** Keeps to [tokens] until a change is confirmed, since the one that got no answer may take effect later. */
+    private fun distrust(account: BudgetAccount, tokens: Long) {
+        account.certainTokens = minOf(account.certainTokens, tokens)
+        account.holding.setGranted(account.certainTokens)
+    }
+
+    private fun unconfirmed(account: BudgetAccount, append: StreamAppend): GrantChange {
+        log.belief("budget", "A grant was not confirmed.", "customer" to account.id.value, "outcome" to append)
+        return GrantChange.FAILED
+    }
+
+    private fun aim(account: BudgetAccount, allocation: BudgetAllocation, neededTokens: Long): Long {
+        if (account.isClosing) return account.holding.committedTokens
+        val prepaid = customerOf(account.id)?.prepaidTokens ?: return allocation.grantOf(self)
+        return policy.grantFor(
+            self,
+            account.holding,
+            allocation,
+            prepaid,
+            outlook.remainderOf(account),
+            known.liveCount(),
+            neededTokens,
+            clock.now(),
+        )
+    }
+
+    private fun logChange(account: BudgetAccount, before: Long, after: Long, allocation: BudgetAllocation): Unit =
+        log.belief(
+            "budget",
+            "A grant changed.",
+            "customer" to account.id.value,
+            "before" to before,
+            "after" to after,
+            "used" to account.holding.usedTokens,
+            "allocated" to allocation.allocatedTokens,
+        )
+
+    private companion object {
+        /** Twice the time in which others notice what they need not hold. */
+        const val READ_PAUSE_MILLISECONDS = 500L
+    }
+}
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorGrants.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorGrants.kt
@@ -15,7 +15,7 @@
 internal class PredecessorGrants(
     private val self: Incarnation,
     private val ledgers: BudgetLedgers,
-    private val reports: RouterReports,
+    private val earlier: EarlierProcesses,
     private val log: DecisionLog,
 ) {
     /** Closes the grants of earlier processes on this instance, until none is left. */
@@ -26,7 +26,7 @@
                 .all { it }
             if (!isDone) delay(RETRY_PAUSE_MILLISECONDS)
         }
-        reports.predecessors = emptyMap()
+        earlier.clear()
     }
 
     private suspend fun close(ledger: LedgerPartition): Boolean {
@@ -54,7 +54,7 @@
 
     private fun closing(customer: CustomerId, allocation: BudgetAllocation): BudgetAllocation =
         allocation.grants.keys.filter { it.instance == self.instance && it != self }.fold(allocation) { open, process ->
-            val charges = reports.predecessors[process]
+            val charges = earlier.charges[process]
             open.closing(process, if (charges == null) HolderCharge.unknown else charges[customer] ?: HolderCharge.none)
         }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -81,8 +81,15 @@
     override fun deserialize(decoder: Decoder): BudgetReport {
         val read = decoder.decodeSerializableValue(numbers)
         if (read.size != SIZE) throw SerializationException("a budget of ${read.size} numbers in place of $SIZE")
-        val (used, ceiling, growth, release, available) = read
-        return BudgetReport(used, ceiling, growth, release, available, demandPerSecond = read.last())
+        val numbers = read.iterator()
+        return BudgetReport(
+            usedTokens = numbers.nextLong(),
+            ceilingTokens = numbers.nextLong(),
+            growthPerSecond = numbers.nextLong(),
+            releaseTokens = numbers.nextLong(),
+            availableTokens = numbers.nextLong(),
+            demandPerSecond = numbers.nextLong(),
+        )
     }
 }
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
@@ -28,7 +28,7 @@
 import java.net.InetSocketAddress
 import kotlin.random.Random
 
-/** The part of a router that keeps budgets, under virtual time, with one customer. It can be killed and started again. */
+/** The part of a router that keeps one customer's budget, under virtual time. It can be killed and started again. */
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class BudgetRouter(
     private val name: String,
@@ -72,28 +72,35 @@
         val own = MemoryRecordStore(records, random, test.backgroundScope, faultShare)
         own.isCut = isCut
         val log = DecisionLog(clock, GatewayMetrics())
+        val witnesses = PeerWitnesses()
+        val known = KnownReports(self, clock, log)
+        val earlier = EarlierProcesses(self, startedAt, witnesses, log)
         val reports = RouterReports(
             self = self,
             store = own,
             clock = clock,
             log = log,
-            startedAt = startedAt,
+            known = known,
+            earlier = earlier,
             timeOfDay = ::timeOfDay,
             isLeaving = { false },
             peerAddress = InetSocketAddress.createUnresolved(name, 1),
-            witnesses = PeerWitnesses(),
+            witnesses = witnesses,
         )
         val ledgers = BudgetLedgers(own, PARTITIONS)
+        val policy = GrantPolicy()
+        val outlook = BudgetOutlook(ledgers, known) { customer }
         val keeper = BudgetKeeper(
-            self = self,
-            ledgers = ledgers,
+            grants = GrantChanger(self, ledgers, outlook, known, policy, clock, log) { customer },
+            outlook = outlook,
             scope = life,
             clock = clock,
             log = log,
-            policy = GrantPolicy(),
+            policy = policy,
             customers = { listOf(customer) },
             customerOf = { customer },
             reports = reports,
+            known = known,
             lender = { customer, needed -> borrow(customer, needed) },
         )
         budgets = keeper
@@ -103,21 +110,23 @@
         store = own
         life.launch {
             reports.run(onEstablished = {
-                life.launch { PredecessorGrants(self, ledgers, reports, log).closeAll() }
+                life.launch { PredecessorGrants(self, ledgers, earlier, log).closeAll() }
             })
         }
-        val follower = StreamFollower(own, RouterReports.partition, reports::followPace, clock, log, reports)
+        val follower = StreamFollower(own, RouterReports.partition, known::followPace, clock, log, known)
         life.launch { follower.run() }
         life.launch { reports.runWitnessed() }
-        life.launch {
-            while (true) {
-                delay(TEND_MILLISECONDS)
-                keeper.tend()
-            }
-        }
+        life.launch { tend(keeper) }
         return life
     }
 
+    private suspend fun tend(keeper: BudgetKeeper) {
+        while (true) {
+            delay(TEND_MILLISECONDS)
+            keeper.tend()
+        }
+    }
+
     private inner class PeerWitnesses : Witnesses {
         override suspend fun keep(witness: WitnessName, holder: String, ceilings: Map<String, Long>): Boolean {
             delay(random.nextLong(1, 5))
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
@@ -104,6 +104,7 @@
 
         private fun record(offset: Long, pair: Pair<String, String>) = record(offset, pair.first, pair.second)
 
-        private fun record(offset: Long, key: String, value: String) = KeyedRecord(offset, key, value.encodeToByteArray())
+        private fun record(offset: Long, key: String, value: String) =
+            KeyedRecord(offset, key, value.encodeToByteArray())
     }
 }
