--- /dev/null
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/EarlierProcessesTest.kt
@@ -0,0 +1,83 @@
+package org.heatherwind.gateway.state
+
+import kotlinx.coroutines.test.runTest
+import org.heatherwind.core.escrow.HolderCharge
+import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.Moment
+import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.gateway.peer.WitnessName
+import org.heatherwind.gateway.peer.Witnesses
+import org.heatherwind.gateway.telemetry.DecisionLog
+import org.heatherwind.gateway.telemetry.GatewayMetrics
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+
+/** Given a dead process's last report, when its successor starts, then it charges all that may have been used. */
+class EarlierProcessesTest {
+    private class Case(
+        val name: String,
+        val silentMilliseconds: Long,
+        val witnessed: Map<String, Long>? = null,
+        val hasWitness: Boolean = true,
+        val atMost: Long,
+    )
+
+    private val cases = listOf(
+        Case("a short silence: the ceiling", silentMilliseconds = 500, atMost = 2_000),
+        Case("a clock that went back: no bound", silentMilliseconds = -1, atMost = Long.MAX_VALUE),
+        Case("a long silence, the witness knows more", 4_000, mapOf("studio" to 9_000), atMost = 9_000),
+        Case("a long silence, the witness knows less", 4_000, mapOf("studio" to 1_500), atMost = 5_225),
+        Case("a long silence, the witness is gone", 4_000, atMost = 8_500),
+        Case("a long silence without a witness", 4_000, hasWitness = false, atMost = 5_225),
+    )
+
+    @TestFactory
+    fun `an earlier process is charged at most`(): List<DynamicTest> = cases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            runTest {
+                val clock = SteadyClock { Moment(0) }
+                val earlier = EarlierProcesses(
+                    self = Incarnation("router-1@9"),
+                    startedAt = Timestamp(REPORTED_AT + case.silentMilliseconds),
+                    witnesses = FixedWitnesses(case.witnessed),
+                    log = DecisionLog(clock, GatewayMetrics()),
+                )
+                earlier.note(reportOf(case))
+                val expected = mapOf(CustomerId("studio") to HolderCharge(atLeast = 1_000, atMost = case.atMost))
+                assertEquals(expected, earlier.charges[Incarnation(DEAD)])
+            }
+        }
+    }
+
+    private fun reportOf(case: Case) = RouterReport(
+        incarnation = DEAD,
+        epoch = 1,
+        sequence = 8,
+        epochMilliseconds = REPORTED_AT,
+        budgets = mapOf(
+            "studio" to BudgetReport(
+                usedTokens = 1_000,
+                ceilingTokens = 2_000,
+                growthPerSecond = 1_000,
+                releaseTokens = 100,
+                availableTokens = 50_000,
+                demandPerSecond = 1_000,
+            ),
+        ),
+        witness = WitnessName("router-2@7", "10.0.0.2:7340").takeIf { case.hasWitness },
+    )
+
+    private class FixedWitnesses(private val ceilings: Map<String, Long>?) : Witnesses {
+        override suspend fun keep(witness: WitnessName, holder: String, ceilings: Map<String, Long>) = true
+
+        override suspend fun close(witness: WitnessName, holder: String) = ceilings
+    }
+
+    private companion object {
+        const val DEAD = "router-1@5"
+        const val REPORTED_AT = 1_700_000_000_000L
+    }
+}
