Follow demand over a longer time in large fleets

Ruled out: returns (left out while 15% is free). Change: the half-life of demand is 250 ms times the routers, 3 s at least, so that fleets of 12 and fewer work as before.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -1,7 +1,6 @@
 package org.heatherwind.core.escrow
 
 import org.heatherwind.core.identity.Moment
-import kotlin.math.exp
 
 /**
  * What this router holds of one customer's budget. A request reserves its worst case before it is sent, and is charged
@@ -92,6 +91,11 @@
         demand.add(tokens.toDouble(), now)
     }
 
+    /** With more [holders] each sees fewer requests, so its rate has to follow a longer time to mean anything. */
+    public fun noteHolders(holders: Int) {
+        demand.halfLifeMilliseconds = maxOf(DEMAND_HALF_LIFE_MILLISECONDS, holders * HALF_LIFE_PER_HOLDER_MILLISECONDS)
+    }
+
     /** Tokens asked for per second, recent ones weighing most. */
     public fun demandPerSecond(now: Moment): Double = demand.perSecond(now)
 
@@ -134,6 +138,9 @@
         /** Follows a customer that suddenly sends more within a second or two. */
         const val DEMAND_HALF_LIFE_MILLISECONDS = 3_000.0
 
+        /** Keeps a few requests of a middling customer within the half-life in a fleet of any size. */
+        const val HALF_LIFE_PER_HOLDER_MILLISECONDS = 250.0
+
         /** Half of what a router could use itself may go to another. */
         const val LENT_DIVISOR = 2
 
@@ -153,40 +160,3 @@
         const val LOW_SHARE = 0.6
     }
 }
-
-/** A rate whose past contributions fade with a half-life. */
-public class DecayingRate(startedAt: Moment, private val halfLifeMilliseconds: Double) {
-    private var weight = 0.0
-    private var elapsedWeight = 0.0
-    private var updatedAt = startedAt
-
-    /** Adds [amount] at [now]. */
-    public fun add(amount: Double, now: Moment) {
-        fade(now)
-        weight += amount
-    }
-
-    /** The faded sum divided by the faded time. */
-    public fun perSecond(now: Moment): Double {
-        fade(now)
-        return weight / maxOf(elapsedWeight, MINIMUM_SPAN_MILLISECONDS) * MILLISECONDS_PER_SECOND
-    }
-
-    private fun fade(now: Moment) {
-        val elapsed = now.millisecondsSince(updatedAt).coerceAtLeast(0).toDouble()
-        if (elapsed == 0.0) return
-        val rate = LN_2 / halfLifeMilliseconds
-        val kept = exp(-rate * elapsed)
-        weight *= kept
-        elapsedWeight = elapsedWeight * kept + (1 - kept) / rate
-        updatedAt = now
-    }
-
-    private companion object {
-        const val LN_2 = 0.6931471805599453
-        const val MILLISECONDS_PER_SECOND = 1_000.0
-
-        /** A rate over less than a second says little. */
-        const val MINIMUM_SPAN_MILLISECONDS = 1_000.0
-    }
-}
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -195,9 +195,10 @@
     /** Gives back what is held without need, asks for what runs low, and for a first holding of one more customer. */
     fun tend() {
         val now = clock.now()
+        val holders = known.liveCount()
         accounts.values.forEach { account ->
+            account.holding.noteHolders(holders)
             val remainder = outlook.remainderOf(account)
-            val holders = known.liveCount()
             val isDue = policy.isReturnDue(account.holding, remainder, outlook.freeTokens(account), holders, now) ||
                 policy.isRefillDue(account.holding, remainder, holders, now)
             if (isDue && account.holding.availableTokens != 0L && !account.isClosing) refill(account, neededTokens = 0)
