Feed the histogram of times to the first piece

Cause: the metrics page served heatherwind_first_piece_seconds, but nothing ever observed it, so it had no series at all. Ruled out: dropping it, since the users ask for latency histograms. Change: an answer notes when its head is written, and the request's end observes the time since its arrival. The router's own refusals are not observed. Test: RequestsTest reads the metrics page after an order and a refusal: one count, for the order's route. It fails without the call.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerAnswer.kt
@@ -17,21 +17,27 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import org.heatherwind.core.identity.Moment
+import org.heatherwind.core.identity.SteadyClock
 import org.heatherwind.gateway.http.awaitSuccess
 
 /** The answer to one request. An answer that is not finished ends with the connection, so that it cannot look whole. */
 internal class CallerAnswer(
     private val channel: Channel,
     private val request: HttpRequest,
+    private val clock: SteadyClock,
     private val mayKeep: () -> Boolean,
 ) {
     private var keepsConnection = false
     private var isFinished = false
 
-    /** Whether the head has been written. */
-    var hasBegun = false
+    /** When the head was written, or null before. */
+    var begunAt: Moment? = null
         private set
 
+    /** Whether the head has been written. */
+    val hasBegun: Boolean get() = begunAt != null
+
     /** Whether the caller is still connected. */
     val isOpen: Boolean get() = channel.isActive
 
@@ -47,7 +53,7 @@
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING)
         if (status !in BODILESS) headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         decideConnection(response)
-        hasBegun = true
+        begunAt = clock.now()
         isFinished = true
         val written = channel.writeAndFlush(response)
         if (!keepsConnection) written.addListener(ChannelFutureListener.CLOSE)
@@ -59,7 +65,7 @@
         headers.remove(HttpHeaderNames.CONTENT_LENGTH)
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         decideConnection(response)
-        hasBegun = true
+        begunAt = clock.now()
         channel.write(response)
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -121,7 +121,7 @@
         if (serving != null || !context.channel().isActive) return
         val request = waiting.removeFirstOrNull() ?: return scheduleIdleEnd(context)
         readDeadline?.cancel(false)
-        val answer = CallerAnswer(context.channel(), request.head, mayKeep = { !isFaulty && !shared.isDraining() })
+        val answer = CallerAnswer(context.channel(), request.head, shared.clock) { !isFaulty && !shared.isDraining() }
         val job = shared.scope.launch(start = CoroutineStart.LAZY) {
             try {
                 shared.handler.serve(request, answer)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -68,10 +68,10 @@
         } catch (_: TimeoutCancellationException) {
             refusal = Refusal(if (progress.mayHaveRun) ResultCode.DEADLINE_PASSED else ResultCode.DEADLINE_BEFORE_START)
         } catch (left: CancellationException) {
-            end(work.id, work.route.name, ResultCode.CALLER_LEFT, "events" to progress.eventCount)
+            endAdmitted(work, ResultCode.CALLER_LEFT, progress)
             throw left
         }
-        end(work.id, work.route.name, refusal?.code ?: ResultCode.COMPLETED, "events" to progress.eventCount)
+        endAdmitted(work, refusal?.code ?: ResultCode.COMPLETED, progress)
         if (refusal != null && !answer.hasBegun) refusals.write(answer, work.id, refusal)
     }
 
@@ -113,6 +113,13 @@
         return TargetTries(context, work, request, progress, service).run()
     }
 
+    private fun endAdmitted(work: WorkRequest, code: ResultCode, progress: DeliveryProgress) {
+        progress.answer.begunAt?.let { begunAt ->
+            context.metrics.observeFirstPiece(work.route.name, begunAt.millisecondsSince(work.receivedAt))
+        }
+        end(work.id, work.route.name, code, "events" to progress.eventCount)
+    }
+
     private fun end(id: String, route: String, code: ResultCode, vararg inputs: Pair<String, Any?>) {
         context.metrics.countRequest(route, code)
         context.log.request(id, "Ended.", "code" to code.number, "name" to code.name, "route" to route, *inputs)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -33,7 +33,7 @@
         sends.labelValues(service, if (isFirst) "first" else "repeated").inc()
     }
 
-    /** Notes the time to the first piece of an answer. */
+    /** Notes the time from the arrival of a request of [route] to the first piece of its answer. */
     public fun observeFirstPiece(route: String, milliseconds: Long) {
         firstPiece.labelValues(route).observe(milliseconds / MILLISECONDS_PER_SECOND)
     }
