Write once what the change wrote twice, and drop what it left unused

Cause, found on reading the whole change: 'host:port' was parsed in three places and written in two; the listener of peer calls repeated that of readiness and metrics; the statuses without a body stood twice; the parts that prompts share were cut off in three places; a ledger's record was encoded by hand beside reports that a serializer writes; the partition of a budget was hashed anew several times for each request. Change: SocketAddresses, ShortAnswerListener, BODILESS_STATUSES, TokenDemand.sharedParts and sharedTokens, AllocationRecord (the same JSON, unknown fields still ignored); an account holds its ledger, so GrantChanger and BudgetOutlook need no ledgers; every follower is started by one function. Removed: WorkRequest.objective, CallerAnswer.isOpen, AnswerPart.End.isFramed, ClientConnection.openedAt.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -46,17 +46,16 @@
         }
     }
 
-    /** Tokens of the prompt that other requests share with this one. */
-    public fun sharedTokens(tokens: TokenDemand): Long = tokens.parts.dropLast(1).sumOf { it.tokens }
-
     private fun chooseEngine(
         candidates: List<TargetLoad>,
         engine: EngineProfile,
         tokens: TokenDemand,
         now: Moment,
     ): Placement? {
-        val preferred = affinityKeyOf(tokens)?.let { key -> Rendezvous.first(key, candidates) { it.entry.id.value } }
-        val shared = sharedTokens(tokens)
+        val preferred = tokens.sharedParts.lastOrNull()?.key?.let { key ->
+            Rendezvous.first(key, candidates) { it.entry.id.value }
+        }
+        val shared = tokens.sharedTokens
         var best: Placement? = null
         var bestCost = Double.MAX_VALUE
         for (load in candidates) {
@@ -98,9 +97,6 @@
         )
     }
 
-    /** The last part that other requests share; the request's own last part is never shared. */
-    private fun affinityKeyOf(tokens: TokenDemand): String? = tokens.parts.getOrNull(tokens.parts.size - 2)?.key
-
     /** A running request adds to the time of each step. */
     private const val RUNNING_MILLISECONDS = 4.0
     private const val WAITING_MILLISECONDS = 60.0
--- a/core/src/main/kotlin/org/heatherwind/core/placement/UrgencyPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/UrgencyPolicy.kt
@@ -6,7 +6,7 @@
 public object UrgencyPolicy {
     /** The rank of [work], 5 for a plain call. */
     public fun urgencyOf(work: WorkRequest): Int {
-        val unread = work.tokens?.let { it.prompt - PlacementPolicy.sharedTokens(it) } ?: return DEFAULT_URGENCY
+        val unread = work.tokens?.let { it.prompt - it.sharedTokens } ?: return DEFAULT_URGENCY
         val step = SIZE_STEPS.indexOfFirst { unread <= it }
         return if (step < 0) LAST_URGENCY else FIRST_URGENCY + step
     }
--- a/core/src/main/kotlin/org/heatherwind/core/work/WorkRequest.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/work/WorkRequest.kt
@@ -23,10 +23,7 @@
     val tokens: TokenDemand?,
     val receivedAt: Moment,
     val deadline: Moment,
-) {
-    /** When an answer stops earning its full worth to the caller. */
-    val objective: Moment get() = receivedAt.plusMilliseconds(route.latencyObjectiveMilliseconds)
-}
+)
 
 /**
  * The size of a generation in tokens.
@@ -40,6 +37,12 @@
     val maximumOutput: Long,
     val parts: ImmutableList<PromptPart> = persistentListOf(),
 ) {
+    /** The parts that other prompts may share; the last part belongs to this request or its session. */
+    val sharedParts: List<PromptPart> get() = parts.dropLast(1)
+
+    /** Tokens of the prompt that other prompts may share. */
+    val sharedTokens: Long get() = sharedParts.sumOf { it.tokens }
+
     /** Tokens that the request may consume at most. */
     val worstCase: Long get() = prompt + maximumOutput
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -23,7 +23,7 @@
 import org.heatherwind.gateway.caller.CallerContext
 import org.heatherwind.gateway.caller.CallerListener
 import org.heatherwind.gateway.http.HttpCaller
-import org.heatherwind.gateway.http.StatusListener
+import org.heatherwind.gateway.http.ShortAnswerListener
 import org.heatherwind.gateway.http.StatusText
 import org.heatherwind.gateway.peer.CeilingAnswer
 import org.heatherwind.gateway.peer.CeilingNotice
@@ -116,11 +116,12 @@
     private val bodyMemory = BodyMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
     private val ledgers = BudgetLedgers(store, settings.budgetPartitions)
     private val customerOf = { id: CustomerId -> state.routes?.customerNamed(id) }
-    private val outlook = BudgetOutlook(ledgers, known, customerOf)
+    private val outlook = BudgetOutlook(known, customerOf)
     private val policy = GrantPolicy()
     private val budgets = BudgetKeeper(
-        grants = GrantChanger(self, ledgers, outlook, known, policy, clock, log, customerOf),
+        grants = GrantChanger(self, outlook, known, policy, clock, log, customerOf),
         outlook = outlook,
+        ledgers = ledgers,
         scope = scope,
         clock = clock,
         log = log,
@@ -162,18 +163,17 @@
 
     /** Opens the listeners and begins to follow the store. */
     public fun start() {
-        StatusListener(group) { readiness() }.listen(settings.readinessAddress)
-        settings.metricsAddress?.let { StatusListener(group) { StatusText(OK, metrics.render()) }.listen(it) }
+        ShortAnswerListener(group) { readiness() }.listen(settings.readinessAddress)
+        settings.metricsAddress?.let { ShortAnswerListener(group) { StatusText(OK, metrics.render()) }.listen(it) }
         settings.peerAddress?.let { address ->
             PeerServer(group, peerCalls()).listen(address)
             announcements.listen(address)
         }
         listener.listen(settings.callerAddress)
         registerGauges()
-        follow(PLAN_PACE, documents.planPartition, PlanSubscriber(state, documents, log))
-        follow(TARGET_PACE, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
-        val reportFollower = StreamFollower(store, RouterReports.partition, known::followPace, clock, log, known)
-        scope.launch { reportFollower.run() }
+        follow({ PLAN_PACE }, documents.planPartition, PlanSubscriber(state, documents, log))
+        follow({ TARGET_PACE }, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
+        follow(known::followPace, RouterReports.partition, known)
         reports.budgets = budgets
         scope.launch {
             reports.run(onEstablished = { scope.launch { PredecessorGrants(self, ledgers, earlier, log).closeAll() } })
@@ -214,8 +214,8 @@
     /** Waits for the end of a drain. */
     public suspend fun awaitStopped(): Unit = stopped.await()
 
-    private fun follow(pace: FollowPace, partition: StreamPartition, subscriber: StreamSubscriber) {
-        val follower = StreamFollower(store, partition, { pace }, clock, log, subscriber)
+    private fun follow(pace: () -> FollowPace, partition: StreamPartition, subscriber: StreamSubscriber) {
+        val follower = StreamFollower(store, partition, pace, clock, log, subscriber)
         scope.launch { follower.run() }
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerAnswer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerAnswer.kt
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.gateway.http.BODILESS_STATUSES
 import org.heatherwind.gateway.http.awaitSuccess
 
 /** The answer to one request. An answer that is not finished ends with the connection, so that it cannot look whole. */
@@ -38,9 +39,6 @@
     /** Whether the head has been written. */
     val hasBegun: Boolean get() = begunAt != null
 
-    /** Whether the caller is still connected. */
-    val isOpen: Boolean get() = channel.isActive
-
     /** Sends a whole answer. */
     fun respond(status: Int, headers: HttpHeaders, body: ByteArray) {
         val response = DefaultFullHttpResponse(
@@ -51,7 +49,7 @@
             DefaultHttpHeadersFactory.trailersFactory().newHeaders(),
         )
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING)
-        if (status !in BODILESS) headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        if (status !in BODILESS_STATUSES) headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         decideConnection(response)
         begunAt = clock.now()
         isFinished = true
@@ -92,8 +90,4 @@
         val value = if (keepsConnection) HttpHeaderValues.KEEP_ALIVE else HttpHeaderValues.CLOSE
         response.headers().set(HttpHeaderNames.CONNECTION, value)
     }
-
-    private companion object {
-        val BODILESS = setOf(204, 304)
-    }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -28,15 +28,15 @@
     /** A piece of the body; the receiver releases it. */
     class Body(val content: ByteBuf) : AnswerPart
 
-    /** The answer is whole. [isFramed] tells that its end was marked, not just the end of the connection. */
-    class End(val isFramed: Boolean) : AnswerPart
+    /** The answer is whole. */
+    data object End : AnswerPart
 
     /** Nothing more comes. */
     class Broken(val reason: String) : AnswerPart
 }
 
 /** One connection to a target or to the store, used for one request at a time. Confined to its event loop. */
-internal class ClientConnection(val channel: Channel, private val clock: SteadyClock, val openedAt: Moment) {
+internal class ClientConnection(val channel: Channel, private val clock: SteadyClock) {
     private val parts = Queue<AnswerPart>(Queue.UNLIMITED)
     private var bufferedBytes = 0
     private var isWritten = true
@@ -47,7 +47,7 @@
         private set
 
     /** When the last whole answer ended. */
-    var idleSince: Moment = openedAt
+    var idleSince: Moment = clock.now()
         private set
 
     /** When the peer closes the connection if it stays idle, by the peer's word, less a margin for the way. */
@@ -132,7 +132,7 @@
             if (response.decoderResult().isFailure) return breakOff("unreadable answer")
             isAnswerFramed = HttpUtil.isTransferEncodingChunked(response) ||
                 response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) ||
-                response.status().code() in BODILESS
+                response.status().code() in BODILESS_STATUSES
             if (!HttpUtil.isKeepAlive(response)) isClosing = true
             keepAliveSeconds = response.headers()[KEEP_ALIVE]?.substringAfter("timeout=", "")
                 ?.takeWhile { it.isDigit() }?.toLongOrNull()
@@ -152,7 +152,7 @@
             } else {
                 content.release()
             }
-            if (content is LastHttpContent) offer(AnswerPart.End(isAnswerFramed))
+            if (content is LastHttpContent) offer(AnswerPart.End)
         }
 
         private fun offer(part: AnswerPart) {
@@ -179,7 +179,6 @@
 
     private companion object {
         val NO_TRAILERS: HttpHeaders = DefaultHttpHeadersFactory.trailersFactory().newHeaders()
-        val BODILESS = setOf(204, 304)
 
         const val KEEP_ALIVE = "Keep-Alive"
         const val MILLISECONDS_PER_SECOND = 1_000L
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnections.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnections.kt
@@ -55,7 +55,7 @@
         }
         if (!isEstablished) return null
         openedCount++
-        return ClientConnection(future.channel(), clock, clock.now())
+        return ClientConnection(future.channel(), clock)
     }
 
     /** Gives back [connection] after [ClientConnection.finish] allowed another request. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/HttpCaller.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/HttpCaller.kt
@@ -40,7 +40,7 @@
         var outcome: CallOutcome? = null
         try {
             val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
-            headers.set(HttpHeaderNames.HOST, "${address.hostString}:${address.port}")
+            headers.set(HttpHeaderNames.HOST, address.hostAndPort)
             connection.send(method, uri, headers, body)
             outcome = withTimeoutOrNull(timeoutMilliseconds) { collect(connection) }
             return outcome ?: CallOutcome.NoAnswer("no answer within $timeoutMilliseconds ms")
@@ -65,7 +65,7 @@
                     part.content.release()
                 }
 
-                is AnswerPart.End -> return CallOutcome.Answered(status, body.toByteArray())
+                AnswerPart.End -> return CallOutcome.Answered(status, body.toByteArray())
 
                 is AnswerPart.Broken -> return CallOutcome.NoAnswer(part.reason)
             }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/StatusListener.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ShortAnswerListener.kt
@@ -10,33 +10,34 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import java.net.InetSocketAddress
 
-/** A short text for whoever asks, with a status. */
-internal class StatusText(val status: Int, val body: ByteArray)
-
-/** Answers every request with what [present] gives at that moment: readiness, or metrics. */
-internal class StatusListener(private val group: EventLoopGroup, private val present: () -> StatusText) {
+/** Answers every request with the text that [answerTo] gives at once: readiness, metrics, calls of other routers. */
+internal class ShortAnswerListener(
+    private val group: EventLoopGroup,
+    private val answerTo: (FullHttpRequest) -> StatusText,
+) {
     /** Listens on [address]; fails where the address is taken. */
     fun listen(address: InetSocketAddress) {
         ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
             .childHandler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(HttpServerCodec(), Responder())
+                    channel.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BYTES), Responder())
                 }
             })
             .bind(address).syncUninterruptibly()
     }
 
-    private inner class Responder : SimpleChannelInboundHandler<HttpRequest>() {
-        override fun channelRead0(context: ChannelHandlerContext, request: HttpRequest) {
-            val text = present()
+    private inner class Responder : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: FullHttpRequest) {
+            val text = answerTo(request)
             val response = DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(text.status),
@@ -52,4 +53,9 @@
             context.close()
         }
     }
+
+    private companion object {
+        /** A report of some hundred customers. */
+        const val MAXIMUM_BYTES = 65_536
+    }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
@@ -48,7 +48,7 @@
         val announcement = PlacementAnnouncement(
             target = placement.target.entry.id.value,
             readingMilliseconds = placement.readingMilliseconds.toLong(),
-            parts = tokens.parts.dropLast(1).map { AnnouncedPart(it.key, it.tokens) },
+            parts = tokens.sharedParts.map { AnnouncedPart(it.key, it.tokens) },
         )
         val bytes = Json.encodeToString(PlacementAnnouncement.serializer(), announcement).encodeToByteArray()
         val receivers = peers().let { if (it.size > MAXIMUM_PEERS) it.shuffled().take(MAXIMUM_PEERS) else it }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/WitnessClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/WitnessClient.kt
@@ -1,6 +1,6 @@
 package org.heatherwind.gateway.peer
 
-import java.net.InetSocketAddress
+import org.heatherwind.gateway.http.socketAddressOf
 
 /** Reaches the witness of a router's ceilings. */
 internal interface Witnesses {
@@ -15,21 +15,17 @@
 internal class WitnessClient(private val client: PeerClient) : Witnesses {
     override suspend fun keep(witness: WitnessName, holder: String, ceilings: Map<String, Long>): Boolean {
         val notice = CeilingNotice(witness.incarnation, holder, ceilings)
-        val address = addressOf(witness) ?: return false
+        val address = socketAddressOf(witness.address) ?: return false
         val receipt = client.ask(address, KEEP, notice, CeilingNotice.serializer(), CeilingReceipt.serializer())
         return receipt?.isKept == true
     }
 
     override suspend fun close(witness: WitnessName, holder: String): Map<String, Long>? {
         val question = CeilingQuestion(witness.incarnation, holder)
-        val address = addressOf(witness) ?: return null
+        val address = socketAddressOf(witness.address) ?: return null
         return client.ask(address, CLOSE, question, CeilingQuestion.serializer(), CeilingAnswer.serializer())?.ceilings
     }
 
-    private fun addressOf(witness: WitnessName): InetSocketAddress? =
-        witness.address.substringAfterLast(':').toIntOrNull()
-            ?.let { InetSocketAddress(witness.address.substringBeforeLast(':'), it) }
-
     companion object {
         /** Where a witness takes ceilings. */
         const val KEEP: String = "/witness/keep"
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Attempt.kt
@@ -108,7 +108,7 @@
             when (part) {
                 is AnswerPart.Broken -> return AttemptResult.Broken(part.reason)
                 is AnswerPart.Body -> part.content.release()
-                is AnswerPart.End -> Unit
+                AnswerPart.End -> Unit
                 is AnswerPart.Head -> receiveAnswer(connection, part.response)?.let { return it }
             }
         }
@@ -157,7 +157,7 @@
 
                 is AnswerPart.Head -> return AttemptResult.Broken("a second answer within the first")
 
-                is AnswerPart.End -> return result(body.toByteArray())
+                AnswerPart.End -> return result(body.toByteArray())
 
                 is AnswerPart.Body -> {
                     part.content.readBytes(body, part.content.readableBytes())
@@ -179,7 +179,7 @@
 
                 is AnswerPart.Head -> return AttemptResult.Broken("a second answer within the first")
 
-                is AnswerPart.End -> {
+                AnswerPart.End -> {
                     finishBody(status, response, body)
                     return AttemptResult.Delivered(status)
                 }
@@ -215,7 +215,7 @@
                 null -> return AttemptResult.Broken("no event before the progress deadline")
                 is AnswerPart.Broken -> return AttemptResult.Broken(part.reason)
                 is AnswerPart.Head -> return AttemptResult.Broken("a second answer within the first")
-                is AnswerPart.End -> return endEvents(response)
+                AnswerPart.End -> return endEvents(response)
                 is AnswerPart.Body -> passEvents(response, part.content)
             }
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetAccount.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetAccount.kt
@@ -1,12 +1,16 @@
 package org.heatherwind.gateway.state
 
 import kotlinx.coroutines.CompletableDeferred
+import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.escrow.BudgetHolding
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Moment
 
 /** What this router holds of one customer's budget, and what it waits for. */
-internal class BudgetAccount(val id: CustomerId, val holding: BudgetHolding) {
+internal class BudgetAccount(val id: CustomerId, val holding: BudgetHolding, val ledger: LedgerPartition) {
+    /** How the budget is divided, by the last read. */
+    val allocation: BudgetAllocation get() = ledger.allocationOf(id)
+
     /** The change of the grant that is under way. */
     var change: CompletableDeferred<GrantChange>? = null
 
@@ -21,12 +25,23 @@
 
     /** The largest request that waits for a higher ceiling. */
     var neededTokens = 0L
+        private set
 
     /** Whether the store answered when it was last asked. */
     var isStoreCurrent = false
 
     /** The most that is used while the outcome of a change is unknown. */
     var certainTokens = Long.MAX_VALUE
+
+    /** Has the next report allow [tokens] more. */
+    fun need(tokens: Long) {
+        neededTokens = maxOf(neededTokens, tokens)
+    }
+
+    /** Notes that a report was made that allows what was needed. */
+    fun clearNeed() {
+        neededTokens = 0
+    }
 }
 
 /** How a change of a grant ended. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetKeeper.kt
@@ -35,6 +35,7 @@
 internal class BudgetKeeper(
     private val grants: GrantChanger,
     private val outlook: BudgetOutlook,
+    private val ledgers: BudgetLedgers,
     private val scope: CoroutineScope,
     private val clock: SteadyClock,
     private val log: DecisionLog,
@@ -98,19 +99,17 @@
         if (customerOf(customer) == null) return 0
         val account = accountOf(customer)
         val lent = account.holding.lend(request.wantedTokens, clock.now())
-        if (lent < request.wantedTokens) raiseCeilingFor(account, request.wantedTokens * 2)
+        if (lent < request.wantedTokens) {
+            // The borrower asks again, and then finds a higher ceiling.
+            account.need(request.wantedTokens * 2)
+            reports.wantPublished()
+        }
         log.belief("budget", "Another router asked for tokens.", "customer" to request.customer, "lent" to lent)
         return lent
     }
 
-    /** Has the next report allow [tokens] more, so that another router that asks again finds them. */
-    private fun raiseCeilingFor(account: BudgetAccount, tokens: Long) {
-        account.neededTokens = maxOf(account.neededTokens, tokens)
-        reports.wantPublished()
-    }
-
     private fun accountOf(customer: CustomerId): BudgetAccount =
-        accounts.getOrPut(customer) { BudgetAccount(customer, BudgetHolding(clock.now())) }
+        accounts.getOrPut(customer) { BudgetAccount(customer, BudgetHolding(clock.now()), ledgers.of(customer)) }
 
     /** Asks other routers for what is missing of [tokens]. Answers whether any tokens came. */
     private suspend fun borrow(account: BudgetAccount, tokens: Long): Boolean {
@@ -158,7 +157,7 @@
     }
 
     private suspend fun awaitCeiling(account: BudgetAccount, tokens: Long) {
-        account.neededTokens = maxOf(account.neededTokens, tokens)
+        account.need(tokens)
         if (reports.isStoreSilent() && borrow(account, tokens)) return
         withTimeoutOrNull(CEILING_PAUSE_MILLISECONDS) { reports.publishSoon() }
     }
@@ -168,7 +167,7 @@
         return accounts.mapValues { (_, account) ->
             val demand = account.holding.demandPerSecond(now)
             val ceiling = account.holding.nextCeiling(now, account.neededTokens, outlook.remainderOf(account))
-            account.neededTokens = 0
+            account.clearNeed()
             BudgetReport(
                 usedTokens = account.holding.usedTokens,
                 ceilingTokens = ceiling.tokens,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantChanger.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantChanger.kt
@@ -17,7 +17,6 @@
  */
 internal class GrantChanger(
     private val self: Incarnation,
-    private val ledgers: BudgetLedgers,
     private val outlook: BudgetOutlook,
     private val known: KnownReports,
     private val policy: GrantPolicy,
@@ -27,7 +26,7 @@
 ) {
     /** Brings the grant of [account] to what the policy says, [neededTokens] of an open request included. */
     suspend fun change(account: BudgetAccount, neededTokens: Long): GrantChange {
-        val ledger = ledgers.of(account.id)
+        val ledger = account.ledger
         var isFresh = false
         repeat(BudgetLedgers.MAXIMUM_CONFLICTS) {
             if (!ledger.isCurrent) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/KnownReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/KnownReports.kt
@@ -8,6 +8,7 @@
 import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.gateway.http.socketAddressOf
 import org.heatherwind.gateway.peer.WitnessName
 import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.telemetry.DecisionLog
@@ -108,9 +109,7 @@
     }
 
     private class Known(val report: RouterReport, val seenAt: Moment) {
-        val peerAddress: InetSocketAddress? = report.peerAddress?.let { text ->
-            text.substringAfterLast(':').toIntOrNull()?.let { InetSocketAddress(text.substringBeforeLast(':'), it) }
-        }
+        val peerAddress: InetSocketAddress? = report.peerAddress?.let { socketAddressOf(it) }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -1,14 +1,8 @@
 package org.heatherwind.gateway.state
 
 import kotlinx.collections.immutable.toPersistentHashMap
-import kotlinx.serialization.SerializationException
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.jsonObject
-import kotlinx.serialization.json.jsonPrimitive
-import kotlinx.serialization.json.long
-import kotlinx.serialization.json.put
-import kotlinx.serialization.json.putJsonObject
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
@@ -83,30 +77,39 @@
         allocations[CustomerId(record.key)] = decode(value)
     }
 
-    private fun encode(allocation: BudgetAllocation): ByteArray = buildJsonObject {
-        put(CLOSED, allocation.closedTokens)
-        put(CERTAIN, allocation.certainClosedTokens)
-        putJsonObject(GRANTS) { allocation.grants.forEach { (holder, tokens) -> put(holder.value, tokens) } }
-    }.toString().encodeToByteArray()
+    private fun encode(allocation: BudgetAllocation): ByteArray = Json.encodeToString(
+        AllocationRecord.serializer(),
+        AllocationRecord(
+            closed = allocation.closedTokens,
+            certain = allocation.certainClosedTokens,
+            grants = allocation.grants.mapKeys { it.key.value },
+        ),
+    ).encodeToByteArray()
 
     private fun decode(value: ByteArray): BudgetAllocation {
-        val document = Json.parseToJsonElement(value.decodeToString()).jsonObject
-        val grants = document[GRANTS] ?: throw SerializationException("an allocation without grants")
+        val record = json.decodeFromString(AllocationRecord.serializer(), value.decodeToString())
         return BudgetAllocation(
-            closedTokens = document.getValue(CLOSED).jsonPrimitive.long,
-            certainClosedTokens = document.getValue(CERTAIN).jsonPrimitive.long,
-            grants = grants.jsonObject.entries.associate { (holder, tokens) ->
-                Incarnation(holder) to tokens.jsonPrimitive.long
-            }.toPersistentHashMap(),
+            closedTokens = record.closed,
+            certainClosedTokens = record.certain,
+            grants = record.grants.mapKeys { Incarnation(it.key) }.toPersistentHashMap(),
         )
     }
 
+    /**
+     * A [BudgetAllocation] in the store.
+     *
+     * @property closed tokens that routers without a grant any more charged at most
+     * @property certain tokens that they charged at least
+     * @property grants tokens granted to each holder, by its incarnation
+     */
+    @Serializable
+    private class AllocationRecord(val closed: Long, val certain: Long, val grants: Map<String, Long>)
+
     private companion object {
-        const val CLOSED = "closed"
+        /** Fields that a later version adds do not matter here. */
+        val json = Json { ignoreUnknownKeys = true }
 
         /** From about here on, the records that all holders append outweigh the newest ones. */
         const val WIDE_HOLDERS = 16
-        const val CERTAIN = "certain"
-        const val GRANTS = "grants"
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReports.kt
@@ -12,6 +12,7 @@
 import org.heatherwind.core.identity.Moment
 import org.heatherwind.core.identity.SteadyClock
 import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.gateway.http.hostAndPort
 import org.heatherwind.gateway.peer.WitnessName
 import org.heatherwind.gateway.peer.Witnesses
 import org.heatherwind.gateway.store.AppendCondition
@@ -153,7 +154,7 @@
                     charges.entries.associate { it.key.value to ChargeReport(it.value.atLeast, it.value.atMost) }
             },
             isLeaving = isLeaving(),
-            peerAddress = peerAddress?.let { "${it.hostString}:${it.port}" },
+            peerAddress = peerAddress?.hostAndPort,
             witness = known.witnessAfter(confirmedWitness),
         )
         composedAt = clock.now()
--- /dev/null
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/peer/PeerServerTest.kt
@@ -0,0 +1,88 @@
+package org.heatherwind.gateway.peer
+
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.runBlocking
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.SteadyClock
+import org.heatherwind.gateway.http.HttpCaller
+import org.heatherwind.gateway.telemetry.DecisionLog
+import org.heatherwind.gateway.telemetry.GatewayMetrics
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+import java.util.concurrent.TimeUnit
+import kotlin.test.assertEquals
+
+/** Given a router that listens for others on loopback, when another calls it, then it is answered or told nothing. */
+class PeerServerTest {
+    private class Case(val name: String, val expected: Any?, val call: suspend (PeerClient, InetSocketAddress) -> Any?)
+
+    private val cases = listOf(
+        Case("a loan", expected = LoanAnswer(7)) { client, peer ->
+            client.ask(
+                peer,
+                LoanClient.PATH,
+                LoanRequest("studio", wantedTokens = 7),
+                LoanRequest.serializer(),
+                LoanAnswer.serializer(),
+            )
+        },
+        Case("ceilings that are kept and told", expected = mapOf("studio" to 9L)) { client, peer ->
+            val witnesses = WitnessClient(client)
+            val witness = WitnessName(WITNESS, "${peer.hostString}:${peer.port}")
+            witnesses.keep(witness, "router-1@5", mapOf("studio" to 9))
+            witnesses.close(witness, "router-1@5")
+        },
+        Case("a witness whose address names no port", expected = false) { client, _ ->
+            WitnessClient(client).keep(WitnessName(WITNESS, "10.0.0.1"), "router-1@5", emptyMap())
+        },
+        Case("a question that cannot be read", expected = null) { client, peer ->
+            client.ask(peer, LoanClient.PATH, LoanAnswer(1), LoanAnswer.serializer(), LoanAnswer.serializer())
+        },
+        Case("a path that nobody serves", expected = null) { client, peer ->
+            client.ask(peer, "/none", LoanAnswer(1), LoanAnswer.serializer(), LoanAnswer.serializer())
+        },
+        Case("a router that is not there", expected = null) { client, _ ->
+            val nobody = InetSocketAddress("127.0.0.1", freePort())
+            client.ask(nobody, LoanClient.PATH, LoanAnswer(1), LoanAnswer.serializer(), LoanAnswer.serializer())
+        },
+    )
+
+    @TestFactory
+    fun `other routers are answered`(): List<DynamicTest> = cases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+            try {
+                val address = InetSocketAddress("127.0.0.1", freePort())
+                PeerServer(group, calls()).listen(address)
+                val eventLoop = group.next()
+                val log = DecisionLog(SteadyClock.system, GatewayMetrics())
+                val client = PeerClient(HttpCaller(eventLoop, SteadyClock.system), log)
+                val answer = runBlocking(eventLoop.asCoroutineDispatcher()) { case.call(client, address) }
+                assertEquals(case.expected, answer)
+            } finally {
+                group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+            }
+        }
+    }
+
+    private fun calls(): List<PeerCall<*, *>> {
+        val witness = CeilingWitness(Incarnation(WITNESS))
+        return listOf(
+            PeerCall(LoanClient.PATH, LoanRequest.serializer(), LoanAnswer.serializer()) {
+                LoanAnswer(it.wantedTokens)
+            },
+            PeerCall(WitnessClient.KEEP, CeilingNotice.serializer(), CeilingReceipt.serializer(), witness::keep),
+            PeerCall(WitnessClient.CLOSE, CeilingQuestion.serializer(), CeilingAnswer.serializer(), witness::close),
+        )
+    }
+
+    private companion object {
+        const val WITNESS = "router-2@7"
+
+        fun freePort(): Int = ServerSocket(0).use { it.localPort }
+    }
+}
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
@@ -89,10 +89,11 @@
         )
         val ledgers = BudgetLedgers(own, PARTITIONS)
         val policy = GrantPolicy()
-        val outlook = BudgetOutlook(ledgers, known) { customer }
+        val outlook = BudgetOutlook(known) { customer }
         val keeper = BudgetKeeper(
-            grants = GrantChanger(self, ledgers, outlook, known, policy, clock, log) { customer },
+            grants = GrantChanger(self, outlook, known, policy, clock, log) { customer },
             outlook = outlook,
+            ledgers = ledgers,
             scope = life,
             clock = clock,
             log = log,
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
@@ -1,5 +1,6 @@
 package org.heatherwind.gateway.state
 
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.heatherwind.core.identity.Moment
@@ -19,6 +20,7 @@
 import kotlin.test.assertTrue
 
 /** Given plans in quick succession on a slow link, when a follower reads, then it has the newest without all others. */
+@OptIn(ExperimentalCoroutinesApi::class)
 class StreamFollowerTest {
     private class Case(val name: String, val added: List<String>, val newest: Map<String, String>, val mostRead: Int)
 
