Size grants and spend ceilings by demand, and refuse at once where nothing can cover a request

A request in a partition waited for a call that hangs 0.9 s, then for five routers in turn. Change: a refill may take the router's share of the demand; the tokens that a failure may lose are 4% of what is left by demand and 2% whatever the demand, for any number of routers; refills under a tenth of the need are left out; while the store is unreachable a request waits only if a grant, a transfer or the ceiling's growth can cover it in time; a router that did not respond is not asked again for a second.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -34,6 +34,17 @@
     public fun reservableTokens(now: MonotonicTime): Long =
         minOf(grantedTokens, maxOf(storedCeiling(now), witnessedCeiling(now))) - committedTokens
 
+    /**
+     * Returns the earliest time from [now] to [deadline] at which [tokens] become reservable if the store does not
+     * respond and no other request ends, or null if there is none. The result is exact to [GROWTH_STEP_MILLISECONDS].
+     */
+    public fun reservableFrom(tokens: Long, now: MonotonicTime, deadline: MonotonicTime): MonotonicTime? {
+        if (availableTokens < tokens) return null
+        val steps = (deadline.millisecondsSince(now) / GROWTH_STEP_MILLISECONDS).coerceIn(0, MAXIMUM_GROWTH_STEPS)
+        return (0..steps).asSequence().map { now.plusMilliseconds(it * GROWTH_STEP_MILLISECONDS) }
+            .firstOrNull { reservableTokens(it) >= tokens }
+    }
+
     /** The store may hold either the confirmed or the proposed ceiling, so the smaller one applies. */
     private fun storedCeiling(now: MonotonicTime): Long =
         minOf(confirmedCeiling?.tokensAt(now) ?: 0, proposedCeiling?.tokensAt(now) ?: Long.MAX_VALUE)
@@ -51,19 +62,14 @@
      */
     public fun nextCeiling(now: MonotonicTime, neededTokens: Long, remaining: RemainingBudget): SpendCeiling {
         val rate = demandPerSecond(now)
-        val level = remaining.level(rate)
-        val lossAllowance = remaining.lossAllowanceTokens
+        val isScarce = remaining.isScarce(rate)
+        val lossAllowance = remaining.lossAllowanceTokens(rate)
         val minimum = minOf(lossAllowance, MINIMUM_SLACK_TOKENS)
-        val slack = when (level) {
-            BudgetLevel.HIGH -> maxOf((rate * HIGH_LEVEL_SLACK_SECONDS).toLong(), lossAllowance)
-            BudgetLevel.NORMAL -> (rate * NORMAL_LEVEL_SLACK_SECONDS).toLong()
-            BudgetLevel.LOW -> 0
-        }.coerceAtLeast(neededTokens + minimum)
-        val isGrowing = level != BudgetLevel.LOW
+        val slack = (if (isScarce) 0 else lossAllowance).coerceAtLeast(neededTokens + minimum)
         return SpendCeiling(
             tokens = maxOf(committedTokens, minOf(grantedTokens, committedTokens + slack)),
-            growthPerSecond = if (isGrowing) maxOf(rate.toLong(), MINIMUM_GROWTH_TOKENS_PER_SECOND) else 0,
-            releaseTokens = if (isGrowing) lossAllowance else 0,
+            growthPerSecond = if (isScarce) 0 else maxOf(rate.toLong(), MINIMUM_GROWTH_TOKENS_PER_SECOND),
+            releaseTokens = if (isScarce) 0 else lossAllowance,
         )
     }
 
@@ -84,12 +90,16 @@
         witnessedTokens = maxOf(witnessedTokens, tokens)
     }
 
-    /** Returns whether a higher ceiling should be reported now, before requests have to wait for it. */
-    public fun isCeilingLow(now: MonotonicTime): Boolean {
-        val unusedCeilingTokens = (confirmedCeiling?.tokens ?: 0) - committedTokens
-        val grantAboveCeilingTokens = grantedTokens - (confirmedCeiling?.tokens ?: 0)
+    /**
+     * Returns whether a higher ceiling should be reported now, before requests have to wait for it: less than a share
+     * of the slack that the [remaining] budget allows is left.
+     */
+    public fun isCeilingLow(now: MonotonicTime, remaining: RemainingBudget): Boolean {
+        val confirmedTokens = confirmedCeiling?.tokens ?: 0
+        val unusedCeilingTokens = confirmedTokens - committedTokens
+        val grantAboveCeilingTokens = grantedTokens - confirmedTokens
         return grantAboveCeilingTokens > 0 &&
-            unusedCeilingTokens < demandPerSecond(now) * NORMAL_LEVEL_SLACK_SECONDS * LOW_CEILING_SHARE
+            unusedCeilingTokens < remaining.lossAllowanceTokens(demandPerSecond(now)) * LOW_CEILING_SHARE
     }
 
     /** Records a request for [tokens] at [now], whether it can be served or not. */
@@ -150,14 +160,11 @@
         /** A router may transfer half of its reservable tokens to another. */
         const val TRANSFER_DIVISOR = 2
 
-        /**
-         * Several times the duration of a report sent ahead of the interval; unused slack is lost if the process
-         * fails.
-         */
-        const val NORMAL_LEVEL_SLACK_SECONDS = 0.15
+        /** Short in comparison with the latency objectives of requests. */
+        const val GROWTH_STEP_MILLISECONDS = 25L
 
-        /** Covers the requests of the first second in which the store does not respond. */
-        const val HIGH_LEVEL_SLACK_SECONDS = 1.0
+        /** Limits the search to a few seconds. */
+        const val MAXIMUM_GROWTH_STEPS = 200L
 
         /** About one short request; larger requests wait for a report. */
         const val MINIMUM_SLACK_TOKENS = 2_500L
@@ -165,7 +172,7 @@
         /** Allows a customer without recent demand one short request every few seconds of a store outage. */
         const val MINIMUM_GROWTH_TOKENS_PER_SECOND = 1_000L
 
-        /** A report takes a few milliseconds, so it is sent while this share of the slack is left. */
-        const val LOW_CEILING_SHARE = 0.6
+        /** A report takes some milliseconds, so it is sent while this share of the slack is left. */
+        const val LOW_CEILING_SHARE = 0.5
     }
 }
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -8,47 +8,66 @@
  *
  * @property tokens prepaid tokens that no router has charged
  * @property demandElsewherePerSecond tokens requested per second at other routers
+ * @property routers number of live routers, this one included
  */
-public data class RemainingBudget(val tokens: Long, val demandElsewherePerSecond: Double) {
-    /** Returns the level, from how long the tokens last at [demandPerSecond] of this router plus that of the others. */
-    public fun level(demandPerSecond: Double): BudgetLevel {
-        val seconds = tokens / (demandPerSecond + demandElsewherePerSecond).coerceAtLeast(1.0)
-        return when {
-            seconds > HIGH_LEVEL_SECONDS -> BudgetLevel.HIGH
-            seconds < LOW_LEVEL_SECONDS -> BudgetLevel.LOW
-            else -> BudgetLevel.NORMAL
-        }
-    }
+public data class RemainingBudget(
+    val tokens: Long,
+    val demandElsewherePerSecond: Double,
+    val routers: Int = 1,
+) {
+    /** Returns the share of this router in the customer's demand, if [demandPerSecond] is requested here. */
+    public fun demandShare(demandPerSecond: Double): Double =
+        demandPerSecond / (demandPerSecond + demandElsewherePerSecond).coerceAtLeast(1.0)
+
+    /** Returns how many seconds the tokens last at [demandPerSecond] of this router plus that of the others. */
+    public fun secondsLeft(demandPerSecond: Double): Double =
+        tokens / (demandPerSecond + demandElsewherePerSecond).coerceAtLeast(1.0)
 
     /** Returns whether the holders' shares would be smaller than a request, at [demandPerSecond] of this router. */
     public fun isTooSmallToDivide(demandPerSecond: Double): Boolean =
-        tokens < (demandPerSecond + demandElsewherePerSecond) * MINIMUM_DIVISIBLE_SECONDS
+        secondsLeft(demandPerSecond) < MINIMUM_DIVISIBLE_SECONDS
+
+    /** Returns whether the tokens last for so short a time that requests wait for reports. */
+    public fun isScarce(demandPerSecond: Double): Boolean = secondsLeft(demandPerSecond) < SCARCE_SECONDS
 
-    /** Tokens that the customer may lose by the failure of one router, beyond those for its recent demand. */
-    public val lossAllowanceTokens: Long
-        get() = (tokens * LOSS_ALLOWANCE_SHARE).toLong().coerceIn(0, MAXIMUM_LOSS_ALLOWANCE_TOKENS)
+    /**
+     * Returns the tokens that the customer may lose by the failure of this router, where [demandPerSecond] is requested
+     * here. The shares of all routers add up to a fixed share of the remaining tokens, so the failure of all of them
+     * at once loses no more than that, whatever the size of the fleet.
+     */
+    public fun lossAllowanceTokens(demandPerSecond: Double): Long {
+        val total = tokens.coerceAtLeast(0)
+        val byDemand = minOf(
+            total * LOSS_SHARE_BY_DEMAND * demandShare(demandPerSecond),
+            maxOf(demandPerSecond * MAXIMUM_LOSS_SECONDS, MAXIMUM_LOSS_TOKENS_BY_DEMAND),
+        )
+        val regardlessOfDemand =
+            minOf(total * LOSS_SHARE_REGARDLESS_OF_DEMAND / routers.coerceAtLeast(1), MAXIMUM_LOSS_TOKENS)
+        return maxOf(byDemand, regardlessOfDemand).toLong()
+    }
 
     private companion object {
         /** If the tokens last for less than this, a holder's share does not cover one request. */
         const val MINIMUM_DIVISIBLE_SECONDS = 2.0
 
-        /** At most 3% of a budget may become unusable, even if several routers fail at once, repeatedly. */
-        const val LOSS_ALLOWANCE_SHARE = 0.002
+        /** If the tokens last for less than this, requests wait for reports, so a router failure loses few tokens. */
+        const val SCARCE_SECONDS = 4.0
 
-        /** About two requests of mean size in the class of the largest requests. */
-        const val MAXIMUM_LOSS_ALLOWANCE_TOKENS = 20_000L
+        /** Share of a budget that may be lost if all routers with demand fail at once. */
+        const val LOSS_SHARE_BY_DEMAND = 0.04
 
-        /** A customer whose tokens last longer than this is not affected by the loss of one second of demand. */
-        const val HIGH_LEVEL_SECONDS = 25.0
+        /** Share of a budget that may be lost if all routers fail at once, whether they have demand or not. */
+        const val LOSS_SHARE_REGARDLESS_OF_DEMAND = 0.02
 
-        /** If the tokens last for less than this, requests wait for reports, so a router failure loses few tokens. */
-        const val LOW_LEVEL_SECONDS = 4.0
+        /** Covers the demand until the next report of a fleet of a hundred routers, or two large requests. */
+        const val MAXIMUM_LOSS_SECONDS = 1.5
+        const val MAXIMUM_LOSS_TOKENS_BY_DEMAND = 40_000.0
+
+        /** About two requests of mean size in the class of the largest requests. */
+        const val MAXIMUM_LOSS_TOKENS = 20_000.0
     }
 }
 
-/** A customer's remaining tokens in proportion to its demand. */
-public enum class BudgetLevel { HIGH, NORMAL, LOW }
-
 /**
  * Decides how much of a budget a router should hold.
  *
@@ -76,8 +95,7 @@
         val demand = holding.demandPerSecond(now)
         if (remaining.isTooSmallToDivide(demand)) return 0
         val cover = demand * coverMilliseconds / MILLISECONDS_PER_SECOND * headroom
-        val demandShare = demand / (demand + remaining.demandElsewherePerSecond).coerceAtLeast(1.0)
-        val shareOfRemaining = remaining.tokens.coerceAtLeast(0) * demandShare
+        val shareOfRemaining = remaining.tokens.coerceAtLeast(0) * remaining.demandShare(demand)
         val minimum = minOf(minimumTokens, remaining.tokens / (holders.coerceAtLeast(1) * MINIMUM_DIVISOR))
         return minOf(cover.toLong().coerceAtLeast(minimum), shareOfRemaining.toLong())
     }
@@ -112,8 +130,8 @@
 
     /**
      * Returns the total grant that [holder] should have, given the store's [allocation] and [prepaidTokens]. It never
-     * raises the allocated tokens above [prepaidTokens], and leaves the other [holders] their share of the free tokens,
-     * except that [neededTokens] of a waiting request take precedence.
+     * raises the allocated tokens above [prepaidTokens], and leaves the other [holders] their share of the free tokens
+     * by demand, except that [neededTokens] of a waiting request take precedence.
      */
     public fun grantFor(
         holder: Incarnation,
@@ -130,8 +148,12 @@
         val desired = maxOf(desiredTokens(holding, remaining, holders, now), neededTokens)
         val missing = desired - (granted - holding.committedTokens)
         if (missing <= 0 || free <= 0) return (granted + minOf(missing, 0L)).coerceAtLeast(holding.committedTokens)
-        val fairShare = (free * FAIR_SHARE_FACTOR / holders.coerceAtLeast(1)).toLong()
-        return granted + minOf(missing, maxOf(fairShare, neededTokens), free)
+        val demandShare = remaining.demandShare(holding.demandPerSecond(now))
+        val share = maxOf(FAIR_SHARE_FACTOR / holders.coerceAtLeast(1), demandShare)
+        val fairShare = (free * share.coerceAtMost(1.0)).toLong()
+        val added = minOf(missing, maxOf(fairShare, neededTokens), free)
+        val isWorthwhile = neededTokens > 0 || added >= desired * MINIMUM_STEP_SHARE
+        return if (isWorthwhile) granted + added else granted
     }
 
     public companion object {
@@ -161,6 +183,9 @@
         /** Share of a budget that all initial grants together may take. */
         private const val INITIAL_GRANT_SHARE = 0.3
 
+        /** A refill that adds less than this share of the desired tokens is not worth an update of the store. */
+        private const val MINIMUM_STEP_SHARE = 0.1
+
         /** Hysteresis: tokens are returned only well above the desired number, so that grants do not oscillate. */
         private const val RETURN_FACTOR = 1.4
 
--- /dev/null
+++ b/core/src/test/kotlin/org/heatherwind/core/escrow/GrantPolicyTest.kt
@@ -0,0 +1,90 @@
+package org.heatherwind.core.escrow
+
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.InstanceId
+import org.heatherwind.core.identity.MonotonicTime
+import org.heatherwind.core.identity.Timestamp
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertTrue
+
+/**
+ * Given a large fleet in which most callers of a customer reach one router (uneven entry), when grants and ceilings are
+ * sized, then that router's share follows its demand, and the failure of all routers loses a bounded share.
+ */
+class GrantPolicyTest {
+    private class Case(val name: String, val routers: Int, val share: Double)
+
+    private val cases = listOf(
+        Case("nine routers, equal demand", routers = 9, share = 1.0 / 9),
+        Case("nine routers, one is the entry for half", routers = 9, share = 0.5),
+        Case("60 routers, one is the entry for half", routers = 60, share = 0.5),
+        Case("95 routers, one is the entry for nearly all", routers = 95, share = 0.95),
+        Case("95 routers, equal demand", routers = 95, share = 1.0 / 95),
+        Case("361 routers, one is the entry for a fifth", routers = 361, share = 0.2),
+    )
+
+    @TestFactory
+    fun `given uneven entry when a grant is enlarged then it covers a partition at once`(): List<DynamicTest> =
+        cases.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                val holding = BudgetHolding(MonotonicTime(0))
+                val demand = DEMAND_PER_SECOND * case.share
+                (0L until 20_000 step 250).forEach { holding.recordDemand((demand / 4).toLong(), MonotonicTime(it)) }
+                val now = MonotonicTime(20_000)
+                val granted = GrantPolicy().grantFor(
+                    holder = holder,
+                    holding = holding,
+                    allocation = BudgetAllocation(),
+                    prepaidTokens = REMAINING_TOKENS,
+                    remaining = remainingOf(case),
+                    holders = case.routers,
+                    neededTokens = 0,
+                    now = now,
+                )
+                val demandInPartition = demand * PARTITION_SECONDS
+                assertTrue(granted >= demandInPartition, "$granted granted, $demandInPartition requested in 9 s")
+            }
+        }
+
+    @TestFactory
+    fun `given any fleet when all routers fail at once then at most 6 percent is lost`(): List<DynamicTest> =
+        cases.flatMap { case ->
+            listOf(5.0, 12.0, 40.0).map { seconds ->
+                DynamicTest.dynamicTest("${case.name}, tokens for $seconds s") {
+                    val demands = listOf(DEMAND_PER_SECOND * case.share) +
+                        List(case.routers - 1) { DEMAND_PER_SECOND * (1 - case.share) / (case.routers - 1) }
+                    val tokens = (DEMAND_PER_SECOND * seconds).toLong()
+                    val lost = demands.sumOf { demand ->
+                        RemainingBudget(tokens, DEMAND_PER_SECOND - demand, case.routers).lossAllowanceTokens(demand)
+                    }
+                    assertTrue(lost <= tokens * 0.06, "$lost of $tokens tokens lost")
+                }
+            }
+        }
+
+    @TestFactory
+    fun `given ample tokens when a router reports then its ceiling lasts until the next report`(): List<DynamicTest> =
+        cases.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                val demand = DEMAND_PER_SECOND * case.share
+                val reportIntervalSeconds = minOf(case.routers * 0.01, 1.0)
+                val slack = remainingOf(case).lossAllowanceTokens(demand)
+                assertTrue(slack >= demand * reportIntervalSeconds, "$slack tokens at $demand per second")
+            }
+        }
+
+    private fun remainingOf(case: Case) =
+        RemainingBudget(REMAINING_TOKENS, DEMAND_PER_SECOND * (1 - case.share), case.routers)
+
+    private companion object {
+        const val DEMAND_PER_SECOND = 150_000.0
+
+        /** Tokens for 40 s of demand. */
+        const val REMAINING_TOKENS = 6_000_000L
+
+        /** Length of a partition that separates all routers from each other and from the store. */
+        const val PARTITION_SECONDS = 9
+        val holder = Incarnation.of(InstanceId("router-1"), Timestamp(1_700_000_000_000))
+    }
+}
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -130,7 +130,7 @@
         customerOf = customerOf,
         reports = reports,
         peerReports = peerReports,
-        quotaSource = QuotaTransferClient(peerClient, log) { customer -> peerReports.quotaSourceAddressesOf(customer) },
+        quotaSource = QuotaTransferClient(peerClient, clock, log, peerReports::quotaSourceAddressesOf),
     )
     private val announcements =
         PlacementAnnouncements(group, clock, log, { peerReports.peerAddresses() }, { state.loadOf(it) })
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/QuotaTransferClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/QuotaTransferClient.kt
@@ -1,6 +1,8 @@
 package org.heatherwind.gateway.peer
 
 import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.gateway.telemetry.DecisionLog
 import java.net.InetSocketAddress
 
@@ -14,21 +16,26 @@
 }
 
 /**
- * Requests quota transfers from other routers, one after the other.
+ * Requests quota transfers from other routers, one after the other. A router that did not respond is not called again
+ * for a while, so that requests wait only once for each router that is cut off.
  *
  * @param peers returns the addresses of routers that may hold tokens of a customer, the largest holding first
  */
 internal class QuotaTransferClient(
     private val client: PeerClient,
+    private val clock: MonotonicClock,
     private val log: DecisionLog,
     private val peers: (CustomerId) -> List<InetSocketAddress>,
 ) : QuotaSource {
+    private val suspectedUntil = HashMap<InetSocketAddress, MonotonicTime>()
+
     override suspend fun acquire(customer: CustomerId, neededTokens: Long): Long {
         var received = 0L
-        for (peer in peers(customer).take(MAXIMUM_PEERS)) {
+        var failures = 0
+        for (peer in peers(customer).filterNot { isSuspected(it) }.take(MAXIMUM_PEERS)) {
             val request = QuotaTransferRequest(customer.value, neededTokens - received + EXTRA_TOKENS)
             val receivedFromPeer = requestFrom(peer, request)
-            received += receivedFromPeer
+            received += receivedFromPeer ?: 0
             log.stateChange(
                 "budget",
                 "Requested a quota transfer from another router.",
@@ -37,18 +44,28 @@
                 "peer" to peer.toString(),
                 "lent" to receivedFromPeer,
             )
-            if (received >= neededTokens) break
+            if (receivedFromPeer == null) failures++
+            if (received >= neededTokens || failures >= MAXIMUM_FAILURES) break
         }
         return received
     }
 
+    private fun isSuspected(peer: InetSocketAddress): Boolean = suspectedUntil[peer]?.let { clock.now() < it } == true
+
     /**
-     * Returns the tokens received from [peer], 0 without a response. If only the response is lost, the peer has charged
-     * the tokens to its grant, and no router can use them.
+     * Returns the tokens received from [peer], or null without a response. If only the response is lost, the peer has
+     * charged the tokens to its grant, and no router can use them.
      */
-    private suspend fun requestFrom(peer: InetSocketAddress, request: QuotaTransferRequest): Long =
-        client.call(peer, PATH, request, QuotaTransferRequest.serializer(), QuotaTransferResponse.serializer())
-            ?.tokens ?: 0
+    private suspend fun requestFrom(peer: InetSocketAddress, request: QuotaTransferRequest): Long? {
+        val response =
+            client.call(peer, PATH, request, QuotaTransferRequest.serializer(), QuotaTransferResponse.serializer())
+        if (response == null) {
+            suspectedUntil[peer] = clock.now().plusMilliseconds(SUSPICION_MILLISECONDS)
+        } else {
+            suspectedUntil -= peer
+        }
+        return response?.tokens
+    }
 
     companion object {
         /** Path of the endpoint for quota transfers. */
@@ -57,6 +74,12 @@
         /** Maximum number of routers that are called for one request. */
         private const val MAXIMUM_PEERS = 5
 
+        /** After this many calls without a response, this router itself is probably cut off. */
+        private const val MAXIMUM_FAILURES = 2
+
+        /** Partitions last for seconds; a router that only paused responds again after this time. */
+        private const val SUSPICION_MILLISECONDS = 1_000L
+
         /** Requested in addition to the missing tokens, so that the next small reservation needs no call. */
         private const val EXTRA_TOKENS = 2_000L
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
@@ -69,13 +69,13 @@
         val remaining = fleetBudgets.remainingBudgetOf(budget)
         val isRefillDue = policy.isRefillDue(budget.holding, remaining, peerReports.liveCount(), now)
         if (isRefillDue) startGrantUpdate(budget, neededTokens = 0)
-        if (budget.holding.isCeilingLow(now)) reports.requestReport()
+        if (budget.holding.isCeilingLow(now, remaining)) reports.requestReport()
         return true
     }
 
     private suspend fun reserveBeforeDeadline(budget: CustomerBudget, tokens: Long, deadline: MonotonicTime): Boolean {
         val waitMilliseconds = deadline.millisecondsSince(clock.now()).coerceAtLeast(1)
-        return withTimeoutOrNull(waitMilliseconds) { reserveWhenSufficient(budget, tokens) } ?: false
+        return withTimeoutOrNull(waitMilliseconds) { reserveWhenSufficient(budget, tokens, deadline) } ?: false
     }
 
     /** Returns `Exhausted` only where the tokens that are known to be charged leave too few for the request. */
@@ -135,31 +135,56 @@
     }
 
     /** Reserves [tokens] once the grant or the ceiling is large enough. Returns false when waiting would not help. */
-    private suspend fun reserveWhenSufficient(budget: CustomerBudget, tokens: Long): Boolean {
+    private suspend fun reserveWhenSufficient(
+        budget: CustomerBudget,
+        tokens: Long,
+        deadline: MonotonicTime,
+    ): Boolean {
         while (!budget.holding.tryReserve(tokens, clock.now())) {
-            val isRetryUseful = if (budget.holding.availableTokens < tokens) {
-                awaitGrant(budget, tokens)
-            } else {
-                awaitCeiling(budget, tokens)
-                true
+            val isRetryUseful = when {
+                reports.isStoreUnreachable() -> awaitWithoutStore(budget, tokens, deadline)
+
+                budget.holding.availableTokens < tokens ->
+                    awaitGrant(budget, tokens, startGrantUpdate(budget, tokens).await())
+
+                else -> {
+                    awaitCeiling(budget, tokens)
+                    true
+                }
             }
             if (!isRetryUseful) return false
         }
         return true
     }
 
-    /** Waits for a larger grant or a quota transfer. Returns whether the reservation should be tried again. */
-    private suspend fun awaitGrant(budget: CustomerBudget, tokens: Long): Boolean =
-        when (startGrantUpdate(budget, tokens).await()) {
+    /**
+     * Waits for a grant in case the store has just returned, for a quota transfer, or for the growth of the ceiling.
+     * Returns false as soon as it is known that none of them will cover [tokens] before [deadline].
+     */
+    private suspend fun awaitWithoutStore(budget: CustomerBudget, tokens: Long, deadline: MonotonicTime): Boolean {
+        if (budget.holding.availableTokens < tokens) {
+            val update = startGrantUpdate(budget, tokens)
+            val outcome = withTimeoutOrNull(STORE_PROBE_MILLISECONDS) { update.await() }
+            if (outcome != null && outcome != GrantUpdateOutcome.FAILED) return awaitGrant(budget, tokens, outcome)
+        }
+        if (requestTransfer(budget, tokens)) return true
+        val now = clock.now()
+        val reservableFrom = budget.holding.reservableFrom(tokens, now, deadline) ?: return false
+        delay(reservableFrom.millisecondsSince(now).coerceIn(1, CEILING_PAUSE_MILLISECONDS))
+        return true
+    }
+
+    /** Waits for tokens after the [outcome] of a grant update. Returns whether the reservation should be tried again. */
+    private suspend fun awaitGrant(budget: CustomerBudget, tokens: Long, outcome: GrantUpdateOutcome): Boolean =
+        when (outcome) {
             GrantUpdateOutcome.UPDATED -> true
 
             GrantUpdateOutcome.INSUFFICIENT ->
                 fleetBudgets.uncommittedTokens(budget) >= tokens && awaitTransferOrReturn(budget, tokens)
 
             GrantUpdateOutcome.FAILED -> {
-                val isTransferred = requestTransfer(budget, tokens)
-                if (!isTransferred) delay(RETRY_PAUSE_MILLISECONDS)
-                isTransferred || !reports.isStoreUnreachable()
+                if (!requestTransfer(budget, tokens)) delay(RETRY_PAUSE_MILLISECONDS)
+                true
             }
         }
 
@@ -265,6 +290,9 @@
         /** Number of holdings at which initial grants end; further customers' first requests wait for their grants. */
         const val MAXIMUM_INITIAL_GRANTS = 64
 
+        /** Many times the store's response time; a grant that takes longer does not arrive in a partition either. */
+        const val STORE_PROBE_MILLISECONDS = 60L
+
         /** Pause after the store did not confirm a grant update. */
         const val RETRY_PAUSE_MILLISECONDS = 60L
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetBudgetView.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetBudgetView.kt
@@ -17,6 +17,7 @@
     fun remainingBudgetOf(budget: CustomerBudget) = RemainingBudget(
         tokens = prepaidLessClosedAndCommitted(budget) - peerReports.usedElsewhere(budget.id, budget.allocation),
         demandElsewherePerSecond = peerReports.demandElsewhere(budget.id),
+        routers = peerReports.liveCount(),
     )
 
     /** Prepaid tokens less the charges on closed grants and the tokens that this router has committed. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
@@ -59,6 +59,7 @@
     /** The source of the budgets in reports. */
     lateinit var budgets: BudgetReportSource
 
+    private val startedAt = clock.now()
     private var confirmedAt = MonotonicTime.distantPast
     private var epoch = 0L
     private var sequence = 0L
@@ -76,9 +77,12 @@
     fun isStoreUnresponsive(): Boolean =
         clock.now().millisecondsSince(confirmedAt) > intervalMilliseconds() + UNRESPONSIVE_MILLISECONDS
 
-    /** Returns whether the store has confirmed no report for so long that a request should not wait for it. */
+    /**
+     * Returns whether the store has confirmed no report for so long that a request should not wait for it. The time
+     * begins at the start of the process, whose first report may take a while.
+     */
     fun isStoreUnreachable(): Boolean =
-        clock.now().millisecondsSince(confirmedAt) > intervalMilliseconds() + UNREACHABLE_MILLISECONDS
+        clock.now().millisecondsSince(maxOf(confirmedAt, startedAt)) > intervalMilliseconds() + UNREACHABLE_MILLISECONDS
 
     /** Fences predecessors, then publishes reports until cancelled. */
     suspend fun run(onFenced: () -> Unit) {
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
@@ -113,9 +113,12 @@
                 routers.forEach { it.start() }
             }
         }
-        delay(HISTORY_MILLISECONDS)
-        routers.forEach { it.router.kill() }
-        faultScope.cancel()
+        try {
+            delay(HISTORY_MILLISECONDS)
+        } finally {
+            routers.forEach { it.router.kill() }
+            faultScope.cancel()
+        }
         val deliveredShare = delivery.tokens.toDouble() / PREPAID
         assertTrue(delivery.tokens <= PREPAID, "seed $seed: ${delivery.tokens} of $PREPAID tokens delivered")
         assertTrue(
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetManagerTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetManagerTest.kt
@@ -54,6 +54,16 @@
             assertTrue(decision !is BudgetDecision.Reserved)
             assertTrue(first.clock.now().millisecondsSince(before) < 200, "$decision took 200 ms or longer")
         },
+        Case("a request that nothing can cover while all are cut off is refused at once") { first, second ->
+            first.setDisconnected(true)
+            second.setDisconnected(true)
+            first.kill()
+            delay(2_500)
+            val before = second.clock.now()
+            val decision = second.reserve(90_000)
+            assertTrue(decision !is BudgetDecision.Reserved)
+            assertTrue(second.clock.now().millisecondsSince(before) < 100, "$decision took 100 ms or longer")
+        },
     )
 
     @TestFactory
@@ -68,10 +78,14 @@
                     second.peers = listOf(first)
                     first.start()
                     second.start()
-                    delay(500)
-                    case.check(this, first, second)
-                    first.kill()
-                    second.kill()
+                    try {
+                        delay(500)
+                        case.check(this, first, second)
+                    } finally {
+                        // The routers' own scopes would otherwise keep the virtual time running without end.
+                        first.kill()
+                        second.kill()
+                    }
                 }
             }
         }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
@@ -67,6 +67,7 @@
         maximumKilobytes: Int,
     ): StreamRead {
         delay(LATENCY_MILLISECONDS + random.nextLong(LATENCY_MILLISECONDS))
+        awaitConnection()
         if (isDisconnected || random.nextDouble() < faultProbability) return unavailable()
         val stored = records.of(partition)
         return StreamRead.Records(
@@ -79,6 +80,7 @@
 
     override suspend fun newest(partition: StreamPartition): StreamRead {
         delay(LATENCY_MILLISECONDS + random.nextLong(LATENCY_MILLISECONDS))
+        awaitConnection()
         if (isDisconnected || random.nextDouble() < faultProbability) return unavailable()
         val stored = records.of(partition)
         val latest = LinkedHashMap<String, KeyedRecord>()
@@ -95,10 +97,8 @@
         condition: AppendCondition,
     ): StreamAppend {
         delay(LATENCY_MILLISECONDS + random.nextLong(LATENCY_MILLISECONDS))
-        if (isDisconnected) {
-            delay(TIMEOUT_MILLISECONDS)
-            return StreamAppend.Unknown("cut")
-        }
+        awaitConnection()
+        if (isDisconnected) return StreamAppend.Unknown("cut")
         val chance = random.nextDouble()
         return when {
             chance < faultProbability / 3 -> StreamAppend.Rejected("busy")
@@ -120,11 +120,20 @@
         }
     }
 
+    /** A call in a partition hangs until the partition ends, when its bytes are sent again, or until its timeout. */
+    private suspend fun awaitConnection() {
+        repeat((TIMEOUT_MILLISECONDS / RETRANSMISSION_MILLISECONDS).toInt()) {
+            if (!isDisconnected) return
+            delay(RETRANSMISSION_MILLISECONDS)
+        }
+    }
+
     private fun unavailable() = StreamRead.Unavailable("no response")
 
     private companion object {
         const val LATENCY_MILLISECONDS = 4L
         const val TIMEOUT_MILLISECONDS = 900L
+        const val RETRANSMISSION_MILLISECONDS = 20L
         const val MAXIMUM_APPEND_DELAY_MILLISECONDS = 6_000L
     }
 }
