--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
@@ -162,15 +163,19 @@
     @Volatile
     private var isDraining = false
 
-    /** Opens the listeners and starts to follow the streams of the store. */
-    public fun start() {
-        SimpleHttpListener(group) { readiness() }.listen(settings.readinessAddress)
-        settings.metricsAddress?.let { SimpleHttpListener(group) { SimpleResponse(OK, metrics.render()) }.listen(it) }
+    /** Connections that callers opened since the start. */
+    public val acceptedConnections: Long get() = listener.acceptedCount
+
+    /** Opens the listeners and starts to follow the streams of the store. Returns the bound addresses. */
+    public fun start(): BoundAddresses {
+        val readinessAddress = SimpleHttpListener(group) { readiness() }.listen(settings.readinessAddress)
+        val metricsAddress = settings.metricsAddress
+            ?.let { SimpleHttpListener(group) { SimpleResponse(OK, metrics.render()) }.listen(it) }
         settings.peerAddress?.let { address ->
             PeerServer(group, peerEndpoints()).listen(address)
             announcements.listen(address)
         }
-        listener.listen(settings.callerAddress)
+        val callerAddress = listener.listen(settings.callerAddress)
         registerGauges()
         follow({ PLAN_POLLING }, documents.planPartition, PlanSubscriber(state, documents, log))
         follow({ TARGET_POLLING }, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
@@ -183,7 +188,17 @@
         }
         scope.launch { reports.runWitnessUpdates() }
         scope.launch { runMaintenance() }
-        log.process("Started.", "incarnation" to self.value, "callers" to settings.callerAddress.toString())
+        log.process("Started.", "incarnation" to self.value, "callers" to callerAddress.toString())
+        return BoundAddresses(callerAddress, readinessAddress, metricsAddress)
+    }
+
+    /** Returns whether requests can be served: the plan and the targets are known, and predecessors are fenced. */
+    public fun isReady(): Boolean = state.isReady && reports.isFenced && !isDraining
+
+    /** Ends all tasks at once, without a drain, and stops listening for callers. */
+    public fun abort() {
+        scope.cancel()
+        listener.stopListening()
     }
 
     /** Logs that a reload was requested. Settings are read only at the start of the process. */
@@ -250,10 +265,7 @@
         ),
     )
 
-    private fun readiness(): SimpleResponse {
-        val isReady = state.isReady && reports.isFenced && !isDraining
-        return SimpleResponse(if (isReady) OK else UNAVAILABLE, ByteArray(0))
-    }
+    private fun readiness(): SimpleResponse = SimpleResponse(if (isReady()) OK else UNAVAILABLE, ByteArray(0))
 
     private fun registerGauges() {
         metrics.gauge("heatherwind_caller_connections", "Open connections of callers.") {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewaySettings.kt
@@ -25,3 +25,14 @@
     val retryWindowMilliseconds: Long,
     val partitionsPerStream: Int,
 )
+
+/**
+ * The addresses on which a router process listens, with the ports that were bound.
+ *
+ * @property metrics null if the settings name no address for metrics
+ */
+public data class BoundAddresses(
+    val callers: InetSocketAddress,
+    val readiness: InetSocketAddress,
+    val metrics: InetSocketAddress?,
+)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
@@ -18,12 +18,16 @@
     /** Number of connections on which a request is being received, queued or served. */
     val busyCount: Int get() = connections.values.count { !it.isIdle }
 
+    /** Number of connections accepted since the start. */
+    var acceptedCount = 0L
+        private set
+
     /** Number of open connections. */
     val connectionCount: Int get() = connections.size
 
-    /** Listens on [address]. Throws if the address is in use. */
-    fun listen(address: InetSocketAddress) {
-        serverChannel = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+    /** Listens on [address] and returns it with the bound port. Throws if the address is in use. */
+    fun listen(address: InetSocketAddress): InetSocketAddress {
+        val bound = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.SO_KEEPALIVE, true)
@@ -31,6 +35,8 @@
                 override fun initChannel(channel: Channel) = initialize(channel)
             })
             .bind(address).syncUninterruptibly().channel()
+        serverChannel = bound
+        return bound.localAddress() as InetSocketAddress
     }
 
     /** Stops accepting new connections. */
@@ -46,6 +52,7 @@
     private fun initialize(channel: Channel) {
         val connection = CallerConnection(shared)
         connections[channel] = connection
+        acceptedCount++
         channel.closeFuture().addListener { connections.remove(channel) }
         val config = HttpDecoderConfig().setMaxHeaderSize(shared.limits().maximumHeaderBytes)
             .setMaxInitialLineLength(shared.limits().maximumHeaderBytes)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/SimpleHttpListener.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/SimpleHttpListener.kt
@@ -24,9 +24,9 @@
     private val group: EventLoopGroup,
     private val respondTo: (FullHttpRequest) -> SimpleResponse,
 ) {
-    /** Listens on [address]. Throws if the address is in use. */
-    fun listen(address: InetSocketAddress) {
-        ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
+    /** Listens on [address] and returns it with the bound port. Throws if the address is in use. */
+    fun listen(address: InetSocketAddress): InetSocketAddress {
+        val bound = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
             .childHandler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
                     channel.pipeline().addLast(
@@ -36,7 +36,8 @@
                     )
                 }
             })
-            .bind(address).syncUninterruptibly()
+            .bind(address).syncUninterruptibly().channel()
+        return bound.localAddress() as InetSocketAddress
     }
 
     private inner class Responder : SimpleChannelInboundHandler<FullHttpRequest>() {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerServer.kt
@@ -39,7 +39,9 @@
     private val listener = SimpleHttpListener(group) { responseTo(it) }
 
     /** Listens on [address]; throws an exception if the address is in use. */
-    fun listen(address: InetSocketAddress): Unit = listener.listen(address)
+    fun listen(address: InetSocketAddress) {
+        listener.listen(address)
+    }
 
     private fun responseTo(request: FullHttpRequest): SimpleResponse {
         val response = endpointsByPath[request.uri()]?.responseTo(request.content().toString(Charsets.UTF_8))
