Give up responses without end, keep slow streams, and close only idle connections in a planned stop

Each byte renewed the progress deadline and an error body or a partial event was buffered without limit, so a target could hold a request to its deadline and the process's memory. A slow resumable stream was cut after its pause although no target could take it over. In a planned stop a connection accepted within the last poll was closed before its request arrived. Change: only valid parts of the answer extend the progress deadline; bodies of errors and partial events are bounded; a slow response is given up only if another target can be tried now; a connection counts as idle 250 ms after it was accepted or served its last request.

--- a/core/src/main/kotlin/org/heatherwind/core/retry/RetryThrottle.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/retry/RetryThrottle.kt
@@ -23,11 +23,16 @@
      * allowed.
      */
     public fun tryAcquire(now: MonotonicTime, routers: Int): Boolean {
-        val baseShare = limits.base / routers.coerceAtLeast(1)
-        val isAllowed = retries.sum(now) + 1 <= baseShare + limits.ratio * firstAttempts.sum(now)
+        val isAllowed = isAvailable(now, routers)
         if (isAllowed) retries.add(now)
         return isAllowed
     }
+
+    /** Returns whether [tryAcquire] would succeed at [now] among [routers]. */
+    public fun isAvailable(now: MonotonicTime, routers: Int): Boolean {
+        val baseShare = limits.base / routers.coerceAtLeast(1)
+        return retries.sum(now) + 1 <= baseShare + limits.ratio * firstAttempts.sum(now)
+    }
 }
 
 /** Counts attempts within the last [windowMilliseconds], in buckets of a tenth of that time. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -215,11 +215,11 @@
             val deadline = clock.now().plusMilliseconds(settings.drainMilliseconds - DRAIN_RESERVE_MILLISECONDS)
             delay(minOf(LOAD_BALANCER_REMOVAL_MILLISECONDS, settings.drainMilliseconds / 2))
             listener.stopListening()
-            while (listener.busyCount > 0 && clock.now() < deadline) {
-                listener.closeIdle()
+            while (listener.neededCount(clock.now()) > 0 && clock.now() < deadline) {
+                listener.closeIdle(clock.now())
                 delay(DRAIN_POLL_INTERVAL_MILLISECONDS)
             }
-            listener.closeIdle()
+            listener.closeIdle(clock.now())
             withTimeoutOrNull(FINAL_WRITES_TIMEOUT_MILLISECONDS) {
                 budgets.returnAll()
                 reports.publishOnce()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -49,9 +49,16 @@
     private var pendingTimeout: ScheduledFuture<*>? = null
     private var isRejected = false
 
+    /** When the connection was accepted, or its last request ended. */
+    private var idleSince = shared.clock.now()
+
     /** Whether no request is being received, queued or served. */
     val isIdle: Boolean get() = activeJob == null && partialRequest == null && queued.isEmpty()
 
+    /** Whether the connection is idle at [now] and a request that its caller sent at once would have arrived. */
+    fun isClosable(now: MonotonicTime): Boolean =
+        isIdle && now.millisecondsSince(idleSince) >= FIRST_REQUEST_MILLISECONDS
+
     override fun channelActive(context: ChannelHandlerContext) {
         scheduleIdleTimeout(context)
         context.fireChannelActive()
@@ -136,6 +143,7 @@
             context.channel().eventLoop().execute {
                 shared.bodyMemory.release(request.body.size)
                 activeJob = null
+                idleSince = shared.clock.now()
                 if (!context.channel().config().isAutoRead) context.channel().config().isAutoRead = true
                 serveNext(context)
             }
@@ -182,6 +190,9 @@
     }
 
     private companion object {
+        /** A caller that opens a connection sends its request within this time. */
+        const val FIRST_REQUEST_MILLISECONDS = 250L
+
         /** Number of queued pipelined requests at which reading stops. */
         const val MAXIMUM_QUEUED_REQUESTS = 8
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpResponseEncoder
+import org.heatherwind.core.identity.MonotonicTime
 import java.net.InetSocketAddress
 
 /** Accepts connections from callers. */
@@ -44,9 +45,15 @@
         serverChannel?.close()
     }
 
-    /** Closes connections on which no request is being received, queued or served. */
-    fun closeIdle() {
-        connections.filterValues { it.isIdle }.keys.toList().forEach { it.close() }
+    /**
+     * Number of connections that must stay open at [now]: a request is being received, queued or served, or the caller
+     * has connected so recently that its request may be on the way.
+     */
+    fun neededCount(now: MonotonicTime): Int = connections.values.count { !it.isClosable(now) }
+
+    /** Closes the connections that need not stay open at [now]. */
+    fun closeIdle(now: MonotonicTime) {
+        connections.filterValues { it.isClosable(now) }.keys.toList().forEach { it.close() }
     }
 
     private fun initialize(channel: Channel) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -84,8 +84,13 @@
     }
 
     /** Waits for the next part of the response. */
-    suspend fun receive(): ResponsePart {
-        val part = parts.receiveCatching().getOrNull() ?: ResponsePart.Failed("connection closed")
+    suspend fun receive(): ResponsePart =
+        received(parts.receiveCatching().getOrNull() ?: ResponsePart.Failed("connection closed"))
+
+    /** Returns the next part of the response if it has arrived already, otherwise null. */
+    fun receiveIfAvailable(): ResponsePart? = parts.tryReceive().getOrNull()?.let { received(it) }
+
+    private fun received(part: ResponsePart): ResponsePart {
         if (part is ResponsePart.Body) {
             bufferedBytes -= part.content.readableBytes()
             if (bufferedBytes < RESUME_READING_BYTES && !channel.config().isAutoRead) channel.config().isAutoRead = true
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/ResponseTimeoutPolicy.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/ResponseTimeoutPolicy.kt
@@ -1,12 +1,11 @@
 package org.heatherwind.gateway.serve
 
-import org.heatherwind.core.work.Repeatability
 import org.heatherwind.core.work.WorkRequest
 
-/** How long to wait for the next part of a response, and whether to retry on another target after a timeout. */
+/** How long to wait for progress in a response. */
 internal class ResponseTimeoutPolicy {
     /**
-     * Returns the milliseconds until the next part of the response is overdue.
+     * Returns the milliseconds after which a response without a valid new part is overdue.
      *
      * @param hasStarted whether the target's response has started
      */
@@ -22,14 +21,6 @@
         }
     }
 
-    /** Returns whether the request may continue on another target after a timeout. */
-    fun mayRetryOnAnotherTarget(work: WorkRequest, progress: DeliveryProgress): Boolean =
-        when (work.route.repeatability) {
-            Repeatability.AtMostOnce -> false
-            Repeatability.Idempotent -> !progress.callerResponse.hasStarted
-            Repeatability.Resumable -> true
-        }
-
     private companion object {
         const val PAUSE_FACTOR = 2
         const val FIRST_EVENT_FACTOR = 2
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import kotlinx.coroutines.withTimeoutOrNull
 import org.heatherwind.core.identity.MonotonicClock
-import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.placement.Placement
 import org.heatherwind.core.work.Repeatability
 import org.heatherwind.core.work.WorkRequest
@@ -18,7 +17,11 @@
 import org.heatherwind.gateway.protocol.TargetResponseHead
 import java.io.ByteArrayOutputStream
 
-/** One attempt of a request on one target. */
+/**
+ * One attempt of a request on one target.
+ *
+ * @param mayContinueElsewhere returns whether the request could be sent to another target now
+ */
 internal class TargetAttempt(
     private val work: WorkRequest,
     private val request: ReceivedRequest,
@@ -29,6 +32,7 @@
     private val client: TargetClient,
     private val clock: MonotonicClock,
     private val responseTimeouts: ResponseTimeoutPolicy,
+    private val mayContinueElsewhere: () -> Boolean,
 ) {
     private val target = placement.target
     private val inFlight = target.recordSent(
@@ -40,6 +44,10 @@
     private var isFirstEventRecorded = false
     private val splitter = EventSplitter()
 
+    /** When the response is overdue. Only valid parts of the answer extend it, other bytes do not. */
+    private var progressDeadline = clock.now()
+    private var isOverdueRecorded = false
+
     /** Sends the request and forwards the response to the caller. */
     suspend fun run(): AttemptResult {
         val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
@@ -74,6 +82,7 @@
         )
         val headers = protocol.targetHeaders(request.head.headers(), instruction)
         connection.send(request.head.method(), request.head.uri(), headers, request.body)
+        extendProgress(hasStarted = false)
     }
 
     private fun recordResult(result: AttemptResult) {
@@ -103,7 +112,7 @@
 
     private suspend fun receive(connection: ClientConnection): AttemptResult {
         while (true) {
-            val part = nextPart(connection, hasStarted = false)
+            val part = nextPart(connection)
                 ?: return AttemptResult.Incomplete("no response before the progress deadline")
             when (part) {
                 is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
@@ -130,6 +139,7 @@
                 else -> AttemptResult.Incomplete("a response without a request ID")
             }
         }
+        extendProgress(hasStarted = !isEventStream(response))
         val isEncoded = response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
         return when {
             head.isNotRun -> collect(connection, response) { notRun(head) }
@@ -153,7 +163,7 @@
     ): AttemptResult {
         val body = ByteArrayOutputStream()
         while (true) {
-            when (val part = nextPart(connection, hasStarted = true)) {
+            when (val part = nextPart(connection)) {
                 null -> return AttemptResult.Incomplete("no progress in an error response: ${response.status()}")
 
                 is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
@@ -165,17 +175,24 @@
                 is ResponsePart.Body -> {
                     part.content.readBytes(body, part.content.readableBytes())
                     part.content.release()
+                    if (body.size() > MAXIMUM_ERROR_BODY_BYTES) return withoutEnd(response)
                 }
             }
         }
     }
 
+    /** Returns the result of an error response whose body does not end; "not run" holds without the body. */
+    private fun withoutEnd(response: HttpResponse): AttemptResult {
+        val head = protocol.readResponse(response)
+        return if (head.isNotRun) notRun(head) else AttemptResult.Incomplete("an error response without end")
+    }
+
     /** Buffers a short body until it is complete, so that a failure can be retried; forwards a long one as received. */
     private suspend fun forwardBody(connection: ClientConnection, response: HttpResponse): AttemptResult {
         val body = ByteArrayOutputStream()
         val status = response.status().code()
         while (true) {
-            when (val part = nextPart(connection, hasStarted = true)) {
+            when (val part = nextPart(connection)) {
                 null -> return AttemptResult.Incomplete("no progress before the end of the body")
 
                 is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
@@ -187,7 +204,10 @@
                     return AttemptResult.Delivered(status)
                 }
 
-                is ResponsePart.Body -> bufferOrForward(response, part.content, body)
+                is ResponsePart.Body -> {
+                    extendProgress(hasStarted = true)
+                    bufferOrForward(response, part.content, body)
+                }
             }
         }
     }
@@ -214,7 +234,8 @@
 
     private suspend fun forwardEvents(connection: ClientConnection, response: HttpResponse): AttemptResult {
         while (true) {
-            when (val part = nextPart(connection, hasStarted = isFirstEventRecorded)) {
+            if (splitter.isOverflowing) return AttemptResult.Incomplete("an event without end")
+            when (val part = nextPart(connection)) {
                 null -> return AttemptResult.Incomplete("no event before the progress deadline")
                 is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
                 is ResponsePart.Head -> return AttemptResult.Incomplete("second response head within a response")
@@ -232,6 +253,7 @@
         }
         for (event in events) {
             recordFirstEvent()
+            extendProgress(hasStarted = true)
             val last = progress.lastEventId
             if (event.id != null && last != null && event.id <= last) {
                 event.bytes.release()
@@ -254,14 +276,24 @@
         return AttemptResult.Delivered(response.status().code())
     }
 
-    /** Returns the next part, or null if it is overdue and the request may continue on another target. */
-    private suspend fun nextPart(connection: ClientConnection, hasStarted: Boolean): ResponsePart? {
-        val now: MonotonicTime = clock.now()
+    private fun extendProgress(hasStarted: Boolean) {
         val timeoutMilliseconds = responseTimeouts.timeoutMilliseconds(work, progress, hasStarted)
-        val part = withTimeoutOrNull(timeoutMilliseconds) { connection.receive() }
+        progressDeadline = clock.now().plusMilliseconds(timeoutMilliseconds)
+        isOverdueRecorded = false
+    }
+
+    /**
+     * Returns the next part, or null if the response is overdue and the request can continue on another target. If it
+     * cannot, a slow response is better than none, so this waits on.
+     */
+    private suspend fun nextPart(connection: ClientConnection): ResponsePart? {
+        connection.receiveIfAvailable()?.let { return it }
+        val remaining = progressDeadline.millisecondsSince(clock.now())
+        val part = if (remaining > 0) withTimeoutOrNull(remaining) { connection.receive() } else null
         if (part != null) return part
-        target.recordConnectionFailure(now)
-        return if (responseTimeouts.mayRetryOnAnotherTarget(work, progress)) null else connection.receive()
+        if (!isOverdueRecorded) target.recordConnectionFailure(clock.now())
+        isOverdueRecorded = true
+        return if (mayContinueElsewhere()) null else connection.receive()
     }
 
     private fun isEventStream(response: HttpResponse): Boolean = work.route.isStream &&
@@ -272,6 +304,9 @@
         const val FIRST_FINAL_STATUS = 200
         val SUCCESS_STATUSES = 200..299
 
+        /** Longer bodies of error responses are taken for bytes without end. */
+        const val MAXIMUM_ERROR_BODY_BYTES = 1_048_576
+
         /** Longer bodies are forwarded before they are complete. */
         const val MAXIMUM_BUFFERED_BODY_BYTES = 262_144
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -48,6 +48,11 @@
         return isWithinLimits && (sentAttempts == 0 || context.retries.tryAcquire(service, context.clock.now()))
     }
 
+    /** Returns whether the request could be sent to another target if the current attempt were given up. */
+    private fun mayContinueElsewhere(): Boolean =
+        triedTargets.size < MAXIMUM_TARGETS && countedAttempts + 1 < work.route.maximumTargets && mayRetry() &&
+            context.retries.isAvailable(service, context.clock.now()) && choose() != null
+
     private fun mayRetry(): Boolean = when (work.route.repeatability) {
         Repeatability.AtMostOnce -> false
         Repeatability.Idempotent -> !progress.callerResponse.hasStarted
@@ -84,6 +89,7 @@
             client = context.client,
             clock = context.clock,
             responseTimeouts = context.responseTimeouts,
+            mayContinueElsewhere = ::mayContinueElsewhere,
         ).run()
         if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) {
             progress.mayHaveRun = mayHaveRunBefore
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RetryThrottles.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RetryThrottles.kt
@@ -16,9 +16,14 @@
     fun recordFirstAttempt(service: ServiceId, now: MonotonicTime): Unit = of(service).recordFirstAttempt(now)
 
     /** Takes one retry for [service] at [now]. Returns false if this router's share is exhausted. */
-    fun tryAcquire(service: ServiceId, now: MonotonicTime): Boolean {
+    fun tryAcquire(service: ServiceId, now: MonotonicTime): Boolean = of(service).tryAcquire(now, routers())
+
+    /** Returns whether [tryAcquire] would succeed for [service] at [now]. */
+    fun isAvailable(service: ServiceId, now: MonotonicTime): Boolean = of(service).isAvailable(now, routers())
+
+    private fun routers(): Int {
         maximumRouters = maxOf(maximumRouters, routerCount())
-        return of(service).tryAcquire(now, maximumRouters)
+        return maximumRouters
     }
 
     private fun of(service: ServiceId) = throttles.getOrPut(service) { RetryThrottle(limits) }
--- /dev/null
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -0,0 +1,57 @@
+package org.heatherwind.gateway.caller
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpResponseEncoder
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.awaitCancellation
+import org.heatherwind.core.fleet.CallerLimits
+import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
+
+/**
+ * Given a planned stop under load, when connections are closed, then those whose request is being served or may be on
+ * the way stay open.
+ */
+class CallerConnectionTest {
+    private class Case(val name: String, val sent: String, val milliseconds: Long, val isClosable: Boolean)
+
+    private val cases = listOf(
+        Case("a connection that was just accepted", sent = "", milliseconds = 100, isClosable = false),
+        Case("a connection that stayed idle", sent = "", milliseconds = 300, isClosable = true),
+        Case("a request that is being received", REQUEST_HEAD, milliseconds = 10_000, isClosable = false),
+        Case("a request that is being served", REQUEST_HEAD + "frit", milliseconds = 10_000, isClosable = false),
+    )
+
+    @TestFactory
+    fun `given a stop when a connection may carry a request then it stays open`(): List<DynamicTest> =
+        cases.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                var now = MonotonicTime(0)
+                val shared = CallerContext(
+                    scope = CoroutineScope(Dispatchers.Unconfined),
+                    clock = MonotonicClock { now },
+                    limits = { CallerLimits() },
+                    isDraining = { true },
+                    bodyMemory = BodyMemory(1_000_000),
+                    handler = { _, _ -> awaitCancellation() },
+                )
+                val connection = CallerConnection(shared)
+                val channel =
+                    EmbeddedChannel(StrictRequestDecoder(HttpDecoderConfig()), HttpResponseEncoder(), connection)
+                if (case.sent.isNotEmpty()) channel.writeInbound(Unpooled.copiedBuffer(case.sent, Charsets.UTF_8))
+                now = now.plusMilliseconds(case.milliseconds)
+                assertEquals(case.isClosable, connection.isClosable(now))
+                channel.close()
+            }
+        }
+
+    private companion object {
+        const val REQUEST_HEAD = "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\n"
+    }
+}
