Let spend ceilings follow the demand in every outage, and count demand from its first request

Change: ceilings grow with the demand whatever is left; half of the demand between 0.7 and 1.7 s without the store. The loss by a failure is what the ceiling grew beyond the demand. A rate is averaged from its first contribution.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -62,14 +62,13 @@
      */
     public fun nextCeiling(now: MonotonicTime, neededTokens: Long, remaining: RemainingBudget): SpendCeiling {
         val rate = demandPerSecond(now)
-        val isScarce = remaining.isScarce(rate)
         val lossAllowance = remaining.lossAllowanceTokens(rate)
         val minimum = minOf(lossAllowance, MINIMUM_SLACK_TOKENS)
-        val slack = (if (isScarce) 0 else lossAllowance).coerceAtLeast(neededTokens + minimum)
+        val slack = lossAllowance.coerceAtLeast(neededTokens + minimum)
         return SpendCeiling(
             tokens = maxOf(committedTokens, minOf(grantedTokens, committedTokens + slack)),
-            growthPerSecond = if (isScarce) 0 else maxOf(rate.toLong(), MINIMUM_GROWTH_TOKENS_PER_SECOND),
-            releaseTokens = if (isScarce) 0 else lossAllowance,
+            growthPerSecond = maxOf(rate.toLong(), MINIMUM_GROWTH_TOKENS_PER_SECOND),
+            releaseTokens = lossAllowance,
         )
     }
 
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/DecayingRate.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/DecayingRate.kt
@@ -3,7 +3,10 @@
 import org.heatherwind.core.identity.MonotonicTime
 import kotlin.math.exp
 
-/** A rate per second whose past contributions decay exponentially. */
+/**
+ * A rate per second whose past contributions decay exponentially. The time before the first contribution does not
+ * count, so that a rate which begins late is not underestimated.
+ */
 public class DecayingRate(startedAt: MonotonicTime, halfLifeMilliseconds: Double) {
     /** Time in which the weight of a contribution halves. */
     public var halfLifeMilliseconds: Double = halfLifeMilliseconds
@@ -14,14 +17,23 @@
 
     /** Adds [amount] at [now]. */
     public fun add(amount: Double, now: MonotonicTime) {
-        decay(now)
+        if (weightedSum == 0.0) restart(now) else decay(now)
         weightedSum += amount
     }
 
-    /** Returns the sum of the weighted contributions divided by the equally weighted time since the start. */
+    /**
+     * Returns the sum of the weighted contributions divided by the equally weighted time since the first of them. The
+     * divisor is at least most of the half-life, since a few contributions say little about the rate.
+     */
     public fun perSecond(now: MonotonicTime): Double {
         decay(now)
-        return weightedSum / maxOf(weightedMilliseconds, MINIMUM_SPAN_MILLISECONDS) * MILLISECONDS_PER_SECOND
+        val span = maxOf(weightedMilliseconds, halfLifeMilliseconds * MINIMUM_SPAN_SHARE)
+        return weightedSum / span * MILLISECONDS_PER_SECOND
+    }
+
+    private fun restart(now: MonotonicTime) {
+        weightedMilliseconds = 0.0
+        updatedAt = now
     }
 
     private fun decay(now: MonotonicTime) {
@@ -38,7 +50,7 @@
         const val LN_2 = 0.6931471805599453
         const val MILLISECONDS_PER_SECOND = 1_000.0
 
-        /** Avoids extreme rates from a few contributions in the first second. */
-        const val MINIMUM_SPAN_MILLISECONDS = 1_000.0
+        /** Share of the half-life that a rate is averaged over at least. */
+        const val MINIMUM_SPAN_SHARE = 0.85
     }
 }
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -10,11 +10,7 @@
  * @property demandElsewherePerSecond tokens requested per second at other routers
  * @property routers number of live routers, this one included
  */
-public data class RemainingBudget(
-    val tokens: Long,
-    val demandElsewherePerSecond: Double,
-    val routers: Int = 1,
-) {
+public data class RemainingBudget(val tokens: Long, val demandElsewherePerSecond: Double, val routers: Int = 1) {
     /** Returns the share of this router in the customer's demand, if [demandPerSecond] is requested here. */
     public fun demandShare(demandPerSecond: Double): Double =
         demandPerSecond / (demandPerSecond + demandElsewherePerSecond).coerceAtLeast(1.0)
@@ -27,9 +23,6 @@
     public fun isTooSmallToDivide(demandPerSecond: Double): Boolean =
         secondsLeft(demandPerSecond) < MINIMUM_DIVISIBLE_SECONDS
 
-    /** Returns whether the tokens last for so short a time that requests wait for reports. */
-    public fun isScarce(demandPerSecond: Double): Boolean = secondsLeft(demandPerSecond) < SCARCE_SECONDS
-
     /**
      * Returns the tokens that the customer may lose by the failure of this router, where [demandPerSecond] is requested
      * here. The shares of all routers add up to a fixed share of the remaining tokens, so the failure of all of them
@@ -50,9 +43,6 @@
         /** If the tokens last for less than this, a holder's share does not cover one request. */
         const val MINIMUM_DIVISIBLE_SECONDS = 2.0
 
-        /** If the tokens last for less than this, requests wait for reports, so a router failure loses few tokens. */
-        const val SCARCE_SECONDS = 4.0
-
         /** Share of a budget that may be lost if all routers with demand fail at once. */
         const val LOSS_SHARE_BY_DEMAND = 0.04
 
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/SpendCeiling.kt
@@ -6,11 +6,12 @@
  * What a router may charge to a budget before its next confirmed report. If the router fails, it cannot have charged
  * more than this, so the rest of its grant is free.
  *
- * A short gap in the reports usually means that the router failed, and a long gap that the store is unreachable. So
- * the ceiling hardly grows at first, and follows the demand later.
+ * A short gap in the reports may mean that the router failed, and a long gap means that the store is unreachable. So
+ * the ceiling does not grow at first, and follows the demand later. If the router fails in a long gap, the customer
+ * loses only what the ceiling grew beyond the actual demand.
  *
  * @property tokens limit on charged and reserved tokens while the store responds
- * @property growthPerSecond tokens requested per second when the ceiling was set, 0 where the ceiling must not grow
+ * @property growthPerSecond tokens requested per second when the ceiling was set
  * @property releaseTokens tokens added at once after [RELEASE_MILLISECONDS], for requests that waited for them
  */
 public data class SpendCeiling(val tokens: Long, val growthPerSecond: Long, val releaseTokens: Long) {
@@ -53,8 +54,8 @@
         /** Allows a few large requests in addition to the demand. */
         private const val WITNESSED_RELEASE_FACTOR = 5
 
-        /** Share of the demand that is served before the release. */
-        private const val GROWTH_SHARE_BEFORE_RELEASE = 0.25
+        /** Share of the demand that is served before the release, when the router may still have failed. */
+        private const val GROWTH_SHARE_BEFORE_RELEASE = 0.5
 
         /** Allows the demand to rise by a quarter while the store is unreachable. */
         private const val GROWTH_SHARE_AFTER_RELEASE = 1.25
