Compute sums over the reports of all routers once for each change

Cause: each reservation, refill check and report summed up the reports of all routers, and counted the live ones, for each customer; the preferred target's rank hashed each name twice for each comparison. Change: sums are kept until a report or the ledger changes, the live count for 0.1 s, a rank's weights for one choice.

--- a/core/src/main/kotlin/org/heatherwind/core/routing/Rendezvous.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/routing/Rendezvous.kt
@@ -12,7 +12,8 @@
 
     /** Returns the member that should serve [key] first, or null if [members] is empty. */
     public fun <M> first(key: String, members: Collection<M>, name: (M) -> String): M? =
-        members.maxWithOrNull(compareBy<M> { weight(key, name(it)) }.thenByDescending { name(it) })
+        members.map { Candidate(it, name(it), weight(key, name(it))) }
+            .maxWithOrNull(compareBy<Candidate<M>> { it.weight }.thenByDescending { it.name })?.member
 
     /** Returns the index of the ledger shard of [budget] among [shards] shards. */
     public fun shardOf(budget: BudgetId, shards: Int): Int = partitionOf(budget.value, shards)
@@ -21,6 +22,9 @@
     public fun partitionOf(key: String, partitions: Int): Int =
         Hashing.consistentHash(Hashing.farmHashFingerprint64().hashString(key, UTF_8), partitions)
 
+    /** A member with its weight for one key, computed once for all comparisons. */
+    private class Candidate<M>(val member: M, val name: String, val weight: Long)
+
     private fun weight(key: String, member: String): Long = Hashing.farmHashFingerprint64().newHasher().putString(
         key,
         UTF_8,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetBudgetView.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetBudgetView.kt
@@ -16,7 +16,7 @@
     /** The customer's remaining tokens and its demand elsewhere, as of the last read allocation and reports. */
     fun remainingBudgetOf(budget: CustomerBudget) = RemainingBudget(
         tokens = prepaidLessClosedAndCommitted(budget) - peerReports.usedElsewhere(budget.id, budget.allocation),
-        demandElsewherePerSecond = peerReports.demandElsewhere(budget.id),
+        demandElsewherePerSecond = peerReports.demandElsewhere(budget.id, budget.allocation),
         routers = peerReports.liveCount(),
     )
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -25,7 +25,7 @@
         private set
 
     /** The allocation of [customer] as last read. */
-    fun allocationOf(customer: CustomerId): BudgetAllocation = allocations[customer] ?: BudgetAllocation()
+    fun allocationOf(customer: CustomerId): BudgetAllocation = allocations[customer] ?: NO_ALLOCATION
 
     /** Reads the records added since the last read. Returns whether the copy is now current. */
     suspend fun refresh(): Boolean {
@@ -112,6 +112,8 @@
     )
 
     private companion object {
+        val NO_ALLOCATION = BudgetAllocation()
+
         /** Ignores fields that later versions add. */
         val json = Json { ignoreUnknownKeys = true }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -23,6 +23,12 @@
     private val latestByInstance = HashMap<InstanceId, ReceivedReport>()
     private var lastReadAt = MonotonicTime.distantPast
 
+    private var liveCount = 1
+    private var nextLiveCountAt = MonotonicTime.distantPast
+
+    /** Sums over the reports by customer, which every request needs; computed once for each change of the reports. */
+    private val totals = HashMap<CustomerId, CustomerTotals>()
+
     /** The newest report of this instance, by this process or a predecessor. */
     val latestOfThisInstance: RouterReport? get() = latestByInstance[self.instance]?.report
 
@@ -31,29 +37,43 @@
      * which this router cannot read the store is not counted as time without a report.
      */
     fun liveCount(): Int {
-        val others = latestByInstance.count { (instance, received) ->
-            instance != self.instance && isFresh(received) && !received.report.isDraining
+        val now = clock.now()
+        if (now >= nextLiveCountAt) {
+            liveCount = 1 + latestByInstance.count { (instance, received) ->
+                instance != self.instance && isFresh(received) && !received.report.isDraining
+            }
+            nextLiveCountAt = now.plusMilliseconds(LIVE_COUNT_MILLISECONDS)
         }
-        return others + 1
+        return liveCount
     }
 
     /** Tokens of [customer] charged by other holders of grants in [allocation], as last reported. */
     fun usedElsewhere(customer: CustomerId, allocation: BudgetAllocation): Long =
-        otherHolderReports(allocation).sumOf { it.budgets[customer.value]?.usedTokens ?: 0 }
+        totalsOf(customer, allocation).usedTokens
 
     /** Tokens of [customer] that other holders have charged or may charge before their next confirmed report. */
     fun committedElsewhere(customer: CustomerId, allocation: BudgetAllocation): Long =
-        otherHolderReports(allocation).sumOf { it.budgets[customer.value]?.ceilingTokens ?: 0 }
-
-    /** Reports of other holders with an open grant; charges on closed grants are part of the allocation. */
-    private fun otherHolderReports(allocation: BudgetAllocation): List<RouterReport> =
-        latestByInstance.values.map { it.report }
-            .filter { it.incarnation != self.value && Incarnation(it.incarnation) in allocation.grants }
+        totalsOf(customer, allocation).committedTokens
 
     /** Tokens of [customer] requested per second at other routers, as last reported. */
-    fun demandElsewhere(customer: CustomerId): Double = latestByInstance.values.sumOf { received ->
-        val isOther = received.report.incarnation != self.value && !received.report.isDraining
-        if (isOther) received.report.budgets[customer.value]?.demandPerSecond?.toDouble() ?: 0.0 else 0.0
+    fun demandElsewhere(customer: CustomerId, allocation: BudgetAllocation): Double =
+        totalsOf(customer, allocation).demandPerSecond
+
+    private fun totalsOf(customer: CustomerId, allocation: BudgetAllocation): CustomerTotals =
+        totals[customer]?.takeIf { it.allocation === allocation }
+            ?: computeTotals(customer, allocation).also { totals[customer] = it }
+
+    /** Sums up the reports of other routers. Charges on closed grants are part of the [allocation]. */
+    private fun computeTotals(customer: CustomerId, allocation: BudgetAllocation): CustomerTotals {
+        val others = latestByInstance.values.filter { it.report.incarnation != self.value }
+        val holders = others.filter { it.incarnation in allocation.grants }
+        return CustomerTotals(
+            allocation = allocation,
+            usedTokens = holders.sumOf { it.report.budgets[customer.value]?.usedTokens ?: 0 },
+            committedTokens = holders.sumOf { it.report.budgets[customer.value]?.ceilingTokens ?: 0 },
+            demandPerSecond = others.filterNot { it.report.isDraining }
+                .sumOf { it.report.budgets[customer.value]?.demandPerSecond ?: 0 }.toDouble(),
+        )
     }
 
     /** Addresses of other routers, those with the most available tokens of [customer] first, as last reported. */
@@ -108,6 +128,8 @@
 
     private fun recordReport(record: KeyedRecord, now: MonotonicTime) {
         val value = record.value ?: return
+        totals.clear()
+        nextLiveCountAt = now
         try {
             val report = Json.decodeFromString(RouterReport.serializer(), value.decodeToString())
             latestByInstance[InstanceId(record.key)] = ReceivedReport(report, now)
@@ -123,9 +145,21 @@
 
     private class ReceivedReport(val report: RouterReport, val receivedAt: MonotonicTime) {
         val peerAddress: InetSocketAddress? = report.peerAddress?.let { socketAddressOf(it) }
+        val incarnation = Incarnation(report.incarnation)
     }
 
+    /** Sums over the reports of other routers for one customer, given the holders of grants in [allocation]. */
+    private class CustomerTotals(
+        val allocation: BudgetAllocation,
+        val usedTokens: Long,
+        val committedTokens: Long,
+        val demandPerSecond: Double,
+    )
+
     private companion object {
+        /** Short in comparison with the liveness timeout; every request needs the count several times. */
+        const val LIVE_COUNT_MILLISECONDS = 100L
+
         /** Other routers' charges affect grant sizes and budget levels, which may lag by a few seconds. */
         const val READ_PAUSE_MILLISECONDS = 1_000L
 
