Ask callers to return later if tokens cannot be divided while the store is unreachable

Change: Retry-After of 2 s while the store is unreachable, in which the ceiling grows by two seconds of demand.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -104,8 +104,10 @@
         val reservation = when (decision) {
             BudgetDecision.Exhausted -> return RouterError(ResultCode.BUDGET_EXHAUSTED)
 
-            BudgetDecision.Unavailable ->
-                return RouterError(ResultCode.BUDGET_UNDIVIDED, BUDGET_RETRY_AFTER_MILLISECONDS)
+            is BudgetDecision.Unavailable -> return RouterError(
+                ResultCode.BUDGET_UNDIVIDED,
+                retryAfterMilliseconds(decision.isStoreUnreachable),
+            )
 
             is BudgetDecision.Reserved -> decision.reservation
         }
@@ -118,6 +120,9 @@
         }
     }
 
+    private fun retryAfterMilliseconds(isStoreUnreachable: Boolean): Long =
+        if (isStoreUnreachable) PARTITION_RETRY_AFTER_MILLISECONDS else BUDGET_RETRY_AFTER_MILLISECONDS
+
     private fun tokensPerEvent(work: WorkRequest): Int = context.state.routes?.plan?.services
         ?.get(work.route.destinations.first().service)?.engine?.tokensPerEvent ?: 1
 
@@ -150,5 +155,11 @@
 
         /** Grants held by other routers are returned a few times per second. */
         const val BUDGET_RETRY_AFTER_MILLISECONDS = 500L
+
+        /**
+         * Partitions last for several seconds, in which spend ceilings grow with time. A caller that returns at once
+         * would be refused again, and most callers return only once.
+         */
+        const val PARTITION_RETRY_AFTER_MILLISECONDS = 2_000L
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
@@ -24,8 +24,11 @@
     /** As of the last read of the store, the tokens not yet charged do not cover the request. */
     data object Exhausted : BudgetDecision
 
-    /** Other routers may hold enough uncommitted tokens, but this router did not receive them in time. */
-    data object Unavailable : BudgetDecision {
+    /**
+     * Other routers may hold enough uncommitted tokens, but this router did not receive them in time. While the store
+     * [isStoreUnreachable], they cannot be divided anew.
+     */
+    data class Unavailable(val isStoreUnreachable: Boolean) : BudgetDecision {
         /** Returns the name of this decision in the decision log. */
         override fun toString(): String = "Undivided"
     }
@@ -94,7 +97,7 @@
             "chargedAtLeast" to charged,
             "exhausted" to isExhausted,
         )
-        return if (isExhausted) BudgetDecision.Exhausted else BudgetDecision.Unavailable
+        return if (isExhausted) BudgetDecision.Exhausted else BudgetDecision.Unavailable(reports.isStoreUnreachable())
     }
 
     /**
@@ -135,11 +138,7 @@
     }
 
     /** Reserves [tokens] once the grant or the ceiling is large enough. Returns false when waiting would not help. */
-    private suspend fun reserveWhenSufficient(
-        budget: CustomerBudget,
-        tokens: Long,
-        deadline: MonotonicTime,
-    ): Boolean {
+    private suspend fun reserveWhenSufficient(budget: CustomerBudget, tokens: Long, deadline: MonotonicTime): Boolean {
         while (!budget.holding.tryReserve(tokens, clock.now())) {
             val isRetryUseful = when {
                 reports.isStoreUnreachable() -> awaitWithoutStore(budget, tokens, deadline)
@@ -174,7 +173,7 @@
         return true
     }
 
-    /** Waits for tokens after the [outcome] of a grant update. Returns whether the reservation should be tried again. */
+    /** Waits for tokens after a grant update with [outcome]. Returns whether the reservation should be tried again. */
     private suspend fun awaitGrant(budget: CustomerBudget, tokens: Long, outcome: GrantUpdateOutcome): Boolean =
         when (outcome) {
             GrantUpdateOutcome.UPDATED -> true
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetManagerTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetManagerTest.kt
@@ -60,8 +60,8 @@
             first.kill()
             delay(2_500)
             val before = second.clock.now()
-            val decision = second.reserve(90_000)
-            assertTrue(decision !is BudgetDecision.Reserved)
+            val decision = assertIs<BudgetDecision.Unavailable>(second.reserve(90_000))
+            assertTrue(decision.isStoreUnreachable, "the caller is not told to wait for the store")
             assertTrue(second.clock.now().millisecondsSince(before) < 100, "$decision took 100 ms or longer")
         },
     )
