--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -160,6 +160,12 @@
         ),
     )
 
+    /** Entries of targets change constantly, so reads are spaced. */
+    private val targetPolling = PollingPolicy(
+        waitMilliseconds = 0,
+        pauseMilliseconds = settings.targetDrainMilliseconds / TARGET_READS_PER_DRAIN,
+    )
+
     @Volatile
     private var isDraining = false
 
@@ -178,7 +184,7 @@
         val callerAddress = listener.listen(settings.callerAddress)
         registerGauges()
         follow({ PLAN_POLLING }, documents.planPartition, PlanSubscriber(state, documents, log))
-        follow({ TARGET_POLLING }, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
+        follow({ targetPolling }, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
         follow(peerReports::pollingPolicy, ReportPublisher.partition, peerReports)
         reports.budgets = budgets
         scope.launch {
@@ -293,8 +299,8 @@
         /** A plan change must take effect within 2 s. Changes are rare, so each read waits for one. */
         val PLAN_POLLING = PollingPolicy(waitMilliseconds = 800, pauseMilliseconds = 100, isSkippingReplaced = true)
 
-        /** A draining target must get no requests after 2 s. Entries change constantly, so reads are spaced. */
-        val TARGET_POLLING = PollingPolicy(waitMilliseconds = 0, pauseMilliseconds = 400)
+        /** Leaves several reads within the time in which a draining target may still get requests. */
+        const val TARGET_READS_PER_DRAIN = 5L
         const val MAINTENANCE_INTERVAL_MILLISECONDS = 250L
 
         /** The load balancer removes a router after two failed readiness checks, 1 s apart. */
