Do not serve a request whose caller left before the router could read it

Change: a connection is read up to the end of what has arrived, and a request on a closed connection is not served. Measured: RequestsTest with a busy event loop: the target got the request before, and does not after.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -133,7 +133,8 @@
         }
         val job = shared.scope.launch(start = CoroutineStart.LAZY) {
             try {
-                shared.handler.serve(request, response)
+                // A caller that left while the router had no processor time is not served.
+                if (context.channel().isActive) shared.handler.serve(request, response)
             } finally {
                 response.closeIfUnfinished()
             }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.caller
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -31,6 +32,7 @@
         val bound = ServerBootstrap().group(group).channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveBuffers())
             .childOption(ChannelOption.SO_KEEPALIVE, true)
             .childHandler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) = initialize(channel)
@@ -66,7 +68,14 @@
         channel.pipeline().addLast(StrictRequestDecoder(config), HttpResponseEncoder(), connection)
     }
 
+    /** Reads up to the end of what has arrived, so that a request and its caller's close are read together. */
+    private fun receiveBuffers() =
+        AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_PER_TURN)
+
     private companion object {
+        /** Limits how long one connection is read while others wait. */
+        const val READS_PER_TURN = 16
+
         /** Connections that may wait to be accepted while the event loop is busy. */
         const val ACCEPT_BACKLOG = 512
     }
