Request grants in advance only for the largest customers of a large fleet

Change: 1,200 such grants in the whole fleet, those of the largest budgets; small fleets keep theirs.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -1,5 +1,6 @@
 package org.heatherwind.core.escrow
 
+import org.heatherwind.core.fleet.Customer
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.MonotonicTime
 
@@ -114,6 +115,16 @@
         return holding.availableTokens > desiredTokens(holding, remaining, holders, now) * RETURN_FACTOR
     }
 
+    /**
+     * Returns those of [customers] for which each of [routers] requests a grant before the first request: all in a
+     * small fleet, the ones with the largest budgets in a large one, where most customers reach only some routers and
+     * each grant of each router is an update of the store.
+     */
+    public fun initialGrantCustomers(customers: List<Customer>, routers: Int): List<Customer> = customers
+        .filter { it.prepaidTokens != null }
+        .sortedByDescending { it.prepaidTokens }
+        .take((MAXIMUM_INITIAL_GRANTS_OF_FLEET / routers.coerceAtLeast(1)).coerceAtMost(MAXIMUM_INITIAL_GRANTS))
+
     /** Returns the tokens to request before a customer's first request, so that it need not wait for a grant. */
     public fun initialGrantTokens(prepaidTokens: Long, holders: Int): Long =
         minOf((prepaidTokens * INITIAL_GRANT_SHARE / holders.coerceAtLeast(1)).toLong(), minimumTokens)
@@ -170,6 +181,12 @@
         /** While this share of the remaining tokens is free, a router that needs more can be granted them. */
         private const val AMPLE_FREE_SHARE = 0.15
 
+        /** Number of initial grants of one router; further customers' first requests wait for their grants. */
+        private const val MAXIMUM_INITIAL_GRANTS = 64
+
+        /** Limits the updates at the start of a large fleet, which conflict on the store's partitions. */
+        private const val MAXIMUM_INITIAL_GRANTS_OF_FLEET = 1_200
+
         /** Share of a budget that all initial grants together may take. */
         private const val INITIAL_GRANT_SHARE = 0.3
 
--- a/core/src/test/kotlin/org/heatherwind/core/escrow/GrantPolicyTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/escrow/GrantPolicyTest.kt
@@ -1,11 +1,14 @@
 package org.heatherwind.core.escrow
 
+import org.heatherwind.core.fleet.Customer
+import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.Timestamp
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 /**
@@ -74,6 +77,17 @@
             }
         }
 
+    @TestFactory
+    fun `given a large fleet when it starts then the largest customers get grants in advance`(): List<DynamicTest> =
+        cases.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                val customers = (1..80).map { Customer(CustomerId("c$it"), prepaidTokens = it * 1_000L) }
+                val chosen = GrantPolicy().initialGrantCustomers(customers, case.routers)
+                assertTrue(chosen.size in 1..64 && chosen.size * case.routers <= 1_200, "${chosen.size} customers")
+                assertEquals(customers.takeLast(chosen.size).toSet(), chosen.toSet())
+            }
+        }
+
     private fun remainingOf(case: Case) =
         RemainingBudget(REMAINING_TOKENS, DEMAND_PER_SECOND * (1 - case.share), case.routers)
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
@@ -246,10 +246,12 @@
     }
 
     private fun requestInitialGrant() {
-        if (isShuttingDown || budgets.size >= MAXIMUM_INITIAL_GRANTS || reports.isStoreUnresponsive()) return
-        val customer = customers().filter { it.id !in budgets && it.prepaidTokens != null }.randomOrNull() ?: return
+        if (isShuttingDown || reports.isStoreUnresponsive()) return
+        val routers = peerReports.liveCount()
+        val customer =
+            policy.initialGrantCustomers(customers(), routers).filter { it.id !in budgets }.randomOrNull() ?: return
         val budget = budgetOf(customer.id)
-        startGrantUpdate(budget, policy.initialGrantTokens(customer.prepaidTokens ?: 0, peerReports.liveCount()))
+        startGrantUpdate(budget, policy.initialGrantTokens(customer.prepaidTokens ?: 0, routers))
     }
 
     /** Returns all tokens that are not committed, before the process ends. */
@@ -286,9 +288,6 @@
         /** Pause before the next quota transfer request if the last one did not yield enough tokens. */
         const val TRANSFER_PAUSE_MILLISECONDS = 100L
 
-        /** Number of holdings at which initial grants end; further customers' first requests wait for their grants. */
-        const val MAXIMUM_INITIAL_GRANTS = 64
-
         /** Many times the store's response time; a grant that takes longer does not arrive in a partition either. */
         const val STORE_PROBE_MILLISECONDS = 60L
 
