Lose fewer tokens by the failure of a router of a small fleet

Change: 1% and 0.025% for each router by demand, at most 4%, and 1% regardless of demand: 1.2% at nine routers, 3.4% at 95, whose reports are a second apart. The bounds of GrantPolicyTest stay as they are.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -31,8 +31,9 @@
      */
     public fun lossAllowanceTokens(demandPerSecond: Double): Long {
         val total = tokens.coerceAtLeast(0)
+        val lossShare = (LOSS_SHARE_BY_DEMAND + routers * LOSS_SHARE_PER_ROUTER).coerceAtMost(MAXIMUM_LOSS_SHARE)
         val byDemand = minOf(
-            total * LOSS_SHARE_BY_DEMAND * demandShare(demandPerSecond),
+            total * lossShare * demandShare(demandPerSecond),
             maxOf(demandPerSecond * MAXIMUM_LOSS_SECONDS, MAXIMUM_LOSS_TOKENS_BY_DEMAND),
         )
         val regardlessOfDemand =
@@ -44,11 +45,16 @@
         /** If the tokens last for less than this, a holder's share does not cover one request. */
         const val MINIMUM_DIVISIBLE_SECONDS = 2.0
 
-        /** Share of a budget that may be lost if all routers with demand fail at once. */
-        const val LOSS_SHARE_BY_DEMAND = 0.04
+        /**
+         * Share of a budget that may be lost if all routers with demand fail at once. It rises with the fleet, whose
+         * reports are further apart.
+         */
+        const val LOSS_SHARE_BY_DEMAND = 0.01
+        const val LOSS_SHARE_PER_ROUTER = 0.00025
+        const val MAXIMUM_LOSS_SHARE = 0.04
 
         /** Share of a budget that may be lost if all routers fail at once, whether they have demand or not. */
-        const val LOSS_SHARE_REGARDLESS_OF_DEMAND = 0.02
+        const val LOSS_SHARE_REGARDLESS_OF_DEMAND = 0.01
 
         /** Covers the demand until the next report of a fleet of a hundred routers, or two large requests. */
         const val MAXIMUM_LOSS_SECONDS = 1.5
