Answer a request during which the router itself fails

Cause: RequestServer.serve turned a timeout and a cancellation into an end; every other exception left it. CallerConnection then closed the caller's connection without an answer, and the one log line had no request ID. A generation on a route without a service took this way (destinations.first()). Class of fault: a failure that nobody turns into an answer. Change: serve answers every failure: 503 (3020) if no byte of the request was sent, 502 (4010) otherwise, unless the answer has started. The line 'Ended.' has the stage that the request reached, the plan's version at its start and end and the cause; a new counter has the answers that were broken off. A request counts as possibly run from the write on, not before its headers are made. A write of a response that the codec rejects closes the connection instead of leaving the caller without end. The target is not blamed for a failure of the router.

--- a/core/src/main/kotlin/org/heatherwind/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/result/ResultCode.kt
@@ -72,6 +72,12 @@
     REQUEST_MEMORY_FULL(3010, 503, Execution.NOT_RUN, "The router holds too many request bodies."),
     DEADLINE_BEFORE_START(3011, 503, Execution.NOT_RUN, "The deadline passed before a target took the request."),
     BUDGET_UNDIVIDED(3013, 503, Execution.NOT_RUN, "No tokens of the budget are free at this router at present."),
+    ROUTER_FAILED_BEFORE_START(
+        3020,
+        503,
+        Execution.NOT_RUN,
+        "The router failed before it sent the request to a target.",
+    ),
     NO_TARGET_FREE(4000, 503, Execution.NOT_RUN, "No target had a free slot before the deadline."),
     TARGET_REFUSED(4001, 503, Execution.NOT_RUN, "Every target tried refused the request before running it."),
     TARGET_FAILED(
@@ -85,6 +91,12 @@
     ATTEMPT_OUTCOME_UNKNOWN(4005, 409, Execution.UNKNOWN, "The first attempt may have run; it is never run again."),
     DEADLINE_PASSED(4007, 504, Execution.UNKNOWN, "The deadline passed while a target worked on the request."),
     CALLER_LEFT(4006, 499, Execution.UNKNOWN, "The caller closed the connection before the answer was whole."),
+    ROUTER_FAILED(
+        4010,
+        502,
+        Execution.UNKNOWN,
+        "The router failed after it sent the request to a target; the outcome is unknown.",
+    ),
     CONFIGURATION_BASE_OUTDATED(5000, 409, Execution.NOT_RUN, "Another change was accepted first."),
     CONFIGURATION_INVALID(5001, 400, Execution.NOT_RUN, "The configuration breaks one or more rules."),
     ;
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerResponseWriter.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerResponseWriter.kt
@@ -57,7 +57,7 @@
         startedAt = clock.now()
         isFinished = true
         val written = channel.writeAndFlush(response)
-        if (!isKeptAlive) written.addListener(ChannelFutureListener.CLOSE)
+        written.addListener(if (isKeptAlive) ChannelFutureListener.CLOSE_ON_FAILURE else ChannelFutureListener.CLOSE)
     }
 
     /** Sends the head of a response whose body follows in chunks. */
@@ -80,7 +80,7 @@
     fun finish() {
         isFinished = true
         val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-        if (!isKeptAlive) written.addListener(ChannelFutureListener.CLOSE)
+        written.addListener(if (isKeptAlive) ChannelFutureListener.CLOSE_ON_FAILURE else ChannelFutureListener.CLOSE)
     }
 
     /** Closes the connection if the response is not complete. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
@@ -2,8 +2,45 @@
 
 import org.heatherwind.gateway.caller.CallerResponseWriter
 
+/** How far a request got. */
+internal enum class RequestStage {
+    /** It was read. */
+    READ,
+
+    /** It has a route. */
+    ADMITTED,
+
+    /** Its tokens are reserved. */
+    RESERVED,
+
+    /** It was sent to a target. */
+    SENT,
+
+    /** The head of the response was written to the caller. */
+    HEAD,
+
+    /** An event of the response was written to the caller. */
+    EVENTS,
+}
+
 /** What the caller has received of the response, over all attempts. */
 internal class DeliveryProgress(val callerResponse: CallerResponseWriter) {
+    /** ID of the request; empty until it is read, and if it has none. */
+    var requestId = ""
+
+    /** Name of the route, or null before the request is admitted. */
+    var route: String? = null
+
+    /** How far the request got. */
+    val stage: RequestStage get() = when {
+        eventCount > 0 -> RequestStage.EVENTS
+        callerResponse.hasStarted -> RequestStage.HEAD
+        mayHaveRun -> RequestStage.SENT
+        meter != null -> RequestStage.RESERVED
+        route != null -> RequestStage.ADMITTED
+        else -> RequestStage.READ
+    }
+
     /** ID of the last event that was forwarded, or null. */
     var lastEventId: Long? = null
         private set
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
 import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.work.WorkRequest
 import org.heatherwind.gateway.caller.CallerResponseWriter
@@ -44,8 +45,22 @@
     private val errorWriter = RouterErrorWriter(context.protocol)
 
     override suspend fun serve(request: ReceivedRequest, response: CallerResponseWriter) {
+        val progress = DeliveryProgress(response)
+        val planVersion = planVersion()
+        try {
+            serve(request, progress, planVersion)
+        } catch (end: CancellationException) {
+            throw end
+        } catch (@Suppress("TooGenericExceptionCaught") failure: Exception) {
+            // Whatever fails, a request that was read gets an answer.
+            endWithFailure(request, progress, planVersion, failure)
+        }
+    }
+
+    private suspend fun serve(request: ReceivedRequest, progress: DeliveryProgress, planVersion: Long?) {
         val head = context.protocol.readRequest(request.head)
         val id = head.id.orEmpty()
+        progress.requestId = id
         when (val admitted = admission.admit(request, head)) {
             is Either.Left -> {
                 recordEnd(
@@ -53,18 +68,25 @@
                     NO_ROUTE,
                     admitted.value.code,
                     "path" to request.path,
-                    "planVersion" to context.state.routes?.plan?.version,
+                    "planVersion" to planVersion,
                     "planAgeMilliseconds" to context.clock.now().millisecondsSince(context.state.planCheckedAt),
                 )
-                errorWriter.write(response, id, admitted.value)
+                errorWriter.write(progress.callerResponse, id, admitted.value)
             }
 
-            is Either.Right -> serveAdmitted(admitted.value, request, response)
+            is Either.Right -> {
+                progress.route = admitted.value.route.name
+                serveAdmitted(admitted.value, request, progress, planVersion)
+            }
         }
     }
 
-    private suspend fun serveAdmitted(work: WorkRequest, request: ReceivedRequest, response: CallerResponseWriter) {
-        val progress = DeliveryProgress(response)
+    private suspend fun serveAdmitted(
+        work: WorkRequest,
+        request: ReceivedRequest,
+        progress: DeliveryProgress,
+        planVersion: Long?,
+    ) {
         var error: RouterError?
         try {
             val remainingMilliseconds = work.deadline.millisecondsSince(context.clock.now()).coerceAtLeast(1)
@@ -74,11 +96,46 @@
                 if (progress.mayHaveRun) ResultCode.DEADLINE_PASSED else ResultCode.DEADLINE_BEFORE_START,
             )
         } catch (disconnect: CancellationException) {
-            recordAdmittedEnd(work, ResultCode.CALLER_LEFT, progress)
+            recordAdmittedEnd(work, ResultCode.CALLER_LEFT, progress, planVersion)
             throw disconnect
         }
-        recordAdmittedEnd(work, error?.code ?: ResultCode.COMPLETED, progress)
-        if (error != null && !response.hasStarted) errorWriter.write(response, work.id, error)
+        recordAdmittedEnd(work, error?.code ?: ResultCode.COMPLETED, progress, planVersion)
+        if (error != null) writeError(progress, error)
+    }
+
+    /** Sends [error] to the caller, or records that the request ends without a whole answer if one has started. */
+    private fun writeError(progress: DeliveryProgress, error: RouterError) {
+        if (progress.callerResponse.hasStarted) {
+            context.metrics.countUnanswered(progress.route ?: NO_ROUTE, progress.stage)
+        } else {
+            errorWriter.write(progress.callerResponse, progress.requestId, error)
+        }
+    }
+
+    /** Ends a request during which the router itself failed with [failure]. The target is not blamed. */
+    private fun endWithFailure(
+        request: ReceivedRequest,
+        progress: DeliveryProgress,
+        planVersion: Long?,
+        failure: Exception,
+    ) {
+        val error = if (progress.mayHaveRun) {
+            RouterError(ResultCode.ROUTER_FAILED)
+        } else {
+            RouterError(ResultCode.ROUTER_FAILED_BEFORE_START, FAILURE_RETRY_AFTER_MILLISECONDS)
+        }
+        recordEnd(
+            progress.requestId,
+            progress.route ?: NO_ROUTE,
+            error.code,
+            "path" to request.path,
+            "reached" to progress.stage,
+            "planVersion" to planVersion,
+            "planVersionAtEnd" to planVersion(),
+            "cause" to failure.javaClass.name,
+            "failure" to failure.stackTraceToString(),
+        )
+        writeError(progress, error)
     }
 
     private suspend fun serveWithReservation(
@@ -86,9 +143,10 @@
         request: ReceivedRequest,
         progress: DeliveryProgress,
     ): RouterError? {
+        val service = DestinationChoice.choose(work) ?: return RouterError(ResultCode.NO_TARGET_FREE)
         val customer = work.customer
         val tokens = work.tokens
-        if (customer == null || tokens == null) return serveAttempts(work, request, progress)
+        if (customer == null || tokens == null) return serveAttempts(work, request, progress, service)
         val waitMilliseconds = maxOf(work.route.latencyObjectiveMilliseconds, BUDGET_WAIT_MILLISECONDS)
         val waitUntil = minOf(work.receivedAt.plusMilliseconds(waitMilliseconds), work.deadline)
         val decision = context.budgets.reserve(customer, tokens.worstCaseTokens, waitUntil)
@@ -111,10 +169,10 @@
 
             is BudgetDecision.Reserved -> decision.reservation
         }
-        val meter = TokenMeter(reservation, tokens, tokensPerEvent(work))
+        val meter = TokenMeter(reservation, tokens, tokensPerEvent(service))
         progress.meter = meter
         try {
-            return serveAttempts(work, request, progress)
+            return serveAttempts(work, request, progress, service)
         } finally {
             meter.end(progress.mayHaveRun)
         }
@@ -123,23 +181,36 @@
     private fun retryAfterMilliseconds(isStoreUnreachable: Boolean): Long =
         if (isStoreUnreachable) PARTITION_RETRY_AFTER_MILLISECONDS else BUDGET_RETRY_AFTER_MILLISECONDS
 
-    private fun tokensPerEvent(work: WorkRequest): Int = context.state.routes?.plan?.services
-        ?.get(work.route.destinations.first().service)?.engine?.tokensPerEvent ?: 1
+    private fun tokensPerEvent(service: ServiceId): Int = context.state.routes?.plan?.services
+        ?.get(service)?.engine?.tokensPerEvent ?: 1
 
     private suspend fun serveAttempts(
         work: WorkRequest,
         request: ReceivedRequest,
         progress: DeliveryProgress,
-    ): RouterError? {
-        val service = DestinationChoice.choose(work) ?: return RouterError(ResultCode.NO_TARGET_FREE)
-        return TargetAttempts(context, work, request, progress, service).run()
-    }
+        service: ServiceId,
+    ): RouterError? = TargetAttempts(context, work, request, progress, service).run()
+
+    private fun planVersion(): Long? = context.state.routes?.plan?.version
 
-    private fun recordAdmittedEnd(work: WorkRequest, code: ResultCode, progress: DeliveryProgress) {
+    private fun recordAdmittedEnd(
+        work: WorkRequest,
+        code: ResultCode,
+        progress: DeliveryProgress,
+        planVersion: Long?,
+    ) {
         progress.callerResponse.startedAt?.let { startedAt ->
             context.metrics.observeFirstChunk(work.route.name, startedAt.millisecondsSince(work.receivedAt))
         }
-        recordEnd(work.id, work.route.name, code, "events" to progress.eventCount)
+        recordEnd(
+            work.id,
+            work.route.name,
+            code,
+            "events" to progress.eventCount,
+            "reached" to progress.stage,
+            "planVersion" to planVersion,
+            "planVersionAtEnd" to planVersion(),
+        )
     }
 
     private fun recordEnd(id: String, route: String, code: ResultCode, vararg fields: Pair<String, Any?>) {
@@ -161,5 +232,8 @@
          * would be refused again, and most callers return only once.
          */
         const val PARTITION_RETRY_AFTER_MILLISECONDS = 2_000L
+
+        /** The same failure may hit the request here again; a caller that returns reaches another router. */
+        const val FAILURE_RETRY_AFTER_MILLISECONDS = 100L
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -72,7 +72,6 @@
     }
 
     private fun send(connection: ClientConnection) {
-        progress.mayHaveRun = true
         val instruction = TargetInstruction(
             target = target.entry.id,
             customer = work.customer?.id,
@@ -81,6 +80,7 @@
             resumeAfterEvent = progress.lastEventId,
         )
         val headers = protocol.targetHeaders(request.head.headers(), instruction)
+        progress.mayHaveRun = true
         connection.send(request.head.method(), request.head.uri(), headers, request.body)
         extendProgress(hasStarted = false)
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -6,6 +6,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.heatherwind.core.result.ResultCode
+import org.heatherwind.gateway.serve.RequestStage
 import java.io.ByteArrayOutputStream
 
 /** The metrics of one router, in a separate registry. */
@@ -20,6 +21,9 @@
     private val firstChunk = Histogram.builder().name("heatherwind_first_piece_seconds")
         .help("Time from arrival to the first piece of an answer.").labelNames("route")
         .classicOnly().register(registry)
+    private val unanswered = Counter.builder().name("heatherwind_requests_unanswered_total")
+        .help("Requests that ended without a whole answer although the caller stayed, by route and stage reached.")
+        .labelNames("route", "reached").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -28,6 +32,11 @@
         requests.labelValues(route, code.number.toString()).inc()
     }
 
+    /** Counts a request of [route] that reached [stage] and ended without a whole answer. */
+    internal fun countUnanswered(route: String, stage: RequestStage) {
+        unanswered.labelValues(route, stage.name.lowercase()).inc()
+    }
+
     /** Counts a request sent to a target of [service]. */
     public fun countSend(service: String, isFirst: Boolean) {
         sends.labelValues(service, if (isFirst) "first" else "repeated").inc()
