Do not lose a part of a response that arrives together with the progress deadline

Cause: TargetAttempt waited with withTimeoutOrNull { connection.receive() }. A part that was handed to the suspended receiver was dropped if the timer fired before the coroutine resumed. A lost event broke the order of a stream; a lost head or end left the caller without an answer until the deadline, since the attempt then waits on where no other target is free. Change: ClientConnection.receive(deadline) selects between the next part and the timer, so that only one of them is taken. Parts that a cancelled receiver did not take are released. Measured: ClientConnectionTest under virtual time, with the wait as it was: the case of a part in the same turn as the deadline failed (the next part received was the end of the response, the head was gone). All cases pass now.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -16,6 +16,9 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
 import kotlinx.coroutines.channels.Channel as Queue
@@ -37,7 +40,7 @@
 
 /** One connection to a target, a router or the store, for one request at a time. Confined to its event loop. */
 internal class ClientConnection(val channel: Channel, private val clock: MonotonicClock) {
-    private val parts = Queue<ResponsePart>(Queue.UNLIMITED)
+    private val parts = Queue<ResponsePart>(Queue.UNLIMITED) { if (it is ResponsePart.Body) it.content.release() }
     private var bufferedBytes = 0
     private var isRequestWritten = true
     private var isResponseFramed = true
@@ -85,7 +88,20 @@
 
     /** Waits for the next part of the response. */
     suspend fun receive(): ResponsePart =
-        received(parts.receiveCatching().getOrNull() ?: ResponsePart.Failed("connection closed"))
+        received(parts.receiveCatching().getOrNull() ?: ResponsePart.Failed(CLOSED))
+
+    /** Waits for the next part of the response up to [deadline]. Returns null if none has arrived by then. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    suspend fun receive(deadline: MonotonicTime): ResponsePart? {
+        receiveIfAvailable()?.let { return it }
+        val remaining = deadline.millisecondsSince(clock.now())
+        if (remaining <= 0) return null
+        // Unlike a timeout around receive, a select does not discard a part that arrives together with the timer.
+        return select {
+            parts.onReceiveCatching { received(it.getOrNull() ?: ResponsePart.Failed(CLOSED)) }
+            onTimeout(remaining) { null }
+        }
+    }
 
     /** Returns the next part of the response if it has arrived already, otherwise null. */
     fun receiveIfAvailable(): ResponsePart? = parts.tryReceive().getOrNull()?.let { received(it) }
@@ -170,7 +186,7 @@
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
-            offer(ResponsePart.Failed("connection closed"))
+            offer(ResponsePart.Failed(CLOSED))
             parts.close()
             context.fireChannelInactive()
         }
@@ -185,6 +201,7 @@
     private companion object {
         val NO_TRAILERS: HttpHeaders = DefaultHttpHeadersFactory.trailersFactory().newHeaders()
 
+        const val CLOSED = "connection closed"
         const val KEEP_ALIVE = "Keep-Alive"
         const val MILLISECONDS_PER_SECOND = 1_000L
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
-import kotlinx.coroutines.withTimeoutOrNull
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.placement.Placement
 import org.heatherwind.core.work.Repeatability
@@ -287,10 +286,7 @@
      * cannot, a slow response is better than none, so this waits on.
      */
     private suspend fun nextPart(connection: ClientConnection): ResponsePart? {
-        connection.receiveIfAvailable()?.let { return it }
-        val remaining = progressDeadline.millisecondsSince(clock.now())
-        val part = if (remaining > 0) withTimeoutOrNull(remaining) { connection.receive() } else null
-        if (part != null) return part
+        connection.receive(progressDeadline)?.let { return it }
         if (!isOverdueRecorded) target.recordConnectionFailure(clock.now())
         isOverdueRecorded = true
         return if (mayContinueElsewhere()) null else connection.receive()
--- /dev/null
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
@@ -0,0 +1,54 @@
+package org.heatherwind.gateway.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.runTest
+import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.test.assertIs
+
+/** Given a response, when its parts arrive before, at or after the receiver's deadline, then none is lost. */
+class ClientConnectionTest {
+    private class Case(val name: String, val arrivesAt: Long)
+
+    private val cases = listOf(
+        Case("before the deadline", arrivesAt = DEADLINE - 1),
+        Case("in the same turn of the event loop as the deadline", arrivesAt = DEADLINE),
+        Case("after the deadline", arrivesAt = DEADLINE + 1),
+    )
+
+    // Guards against responses that never end for the caller, because a part was dropped when the deadline passed.
+    @TestFactory
+    fun `no part of a response is lost at a deadline`(): List<DynamicTest> = cases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            runTest {
+                val clock = MonotonicClock { MonotonicTime(testScheduler.currentTime) }
+                val channel = EmbeddedChannel(HttpClientCodec())
+                val connection = ClientConnection(channel, clock)
+                val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+                connection.send(HttpMethod.GET, "/", headers, ByteArray(0))
+                launch {
+                    delay(case.arrivesAt)
+                    channel.writeInbound(Unpooled.copiedBuffer(RESPONSE, Charsets.UTF_8))
+                }
+                delay(1)
+                val first = connection.receive(MonotonicTime(DEADLINE))
+                assertIs<ResponsePart.Head>(first ?: connection.receive())
+                assertIs<ResponsePart.End>(connection.receive())
+                connection.close()
+            }
+        }
+    }
+
+    private companion object {
+        const val DEADLINE = 100L
+        const val RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    }
+}
