Keep an answer under way until another target has taken the request over

What callers saw: a resumable stream was broken off, or a safe request ended with 502, 0.5 to 1.1 s after its sound target had fallen silent, although the target went on. Cause: TargetAttempt ended as soon as its response was overdue and another target could have been tried. Then the next attempt was started; if that target accepted no connection, refused (503, not run), failed, or the retry was no longer allowed, the answer under way was gone with nothing in its place. The check and the act on it were apart, so a change of the plan or of the list of targets between them had the same result. Class of fault: giving up what one has before its replacement is certain. Change: while a response is overdue, TargetAttempts acquires the retry, chooses the target, connects, sends and waits for its answer to begin; the silent connection stays open meanwhile, for 200 ms after the request was sent at most, since two targets must not work on one request for 400 ms. If the other target refuses or fails, the first one goes on, and may be replaced again after a further timeout within the limits of the route. A log line says that an overdue target was kept. Why it works: an attempt ends only when it failed itself or its successor has taken over. Measured: SilentTargetsTest at the process's sockets (target silent for 1.2 or 1.7 s before the head, before the first event and in mid-stream; the other target refuses, resets, fails or accepts no connection): on the code before, all 8 cases of the two tables failed (four streams cut, three 502, one 500). All pass now, as does ResponsesTest.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerResponseWriter.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerResponseWriter.kt
@@ -33,7 +33,10 @@
     private val mayKeepAlive: () -> Boolean,
 ) {
     private var isKeptAlive = false
-    private var isFinished = false
+
+    /** Whether the complete response has been written. */
+    var isFinished = false
+        private set
 
     /** When the head was written, or null before. */
     var startedAt: MonotonicTime? = null
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
@@ -52,9 +52,20 @@
     /** Whether a target may have started to run the request. */
     var mayHaveRun = false
 
+    /** The last complete error response of a target, or null. */
+    var lastFailure: AttemptResult.Failed? = null
+
     /** Charges events to the customer, or null where nothing is charged. */
     var meter: TokenMeter? = null
 
+    /** Sends the last error response of a target, unless an answer has started. Returns whether one was sent. */
+    fun deliverFailure(): Boolean {
+        val failure = lastFailure
+        if (failure == null || callerResponse.hasStarted) return false
+        callerResponse.respond(failure.status, failure.headers, failure.body)
+        return true
+    }
+
     /** Records and charges an event that is forwarded; [id] is null where the event has none. */
     fun recordEvent(id: Long?) {
         meter?.recordEvent()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -92,9 +92,7 @@
             val remainingMilliseconds = work.deadline.millisecondsSince(context.clock.now()).coerceAtLeast(1)
             error = withTimeout(remainingMilliseconds) { serveWithReservation(work, request, progress) }
         } catch (_: TimeoutCancellationException) {
-            error = RouterError(
-                if (progress.mayHaveRun) ResultCode.DEADLINE_PASSED else ResultCode.DEADLINE_BEFORE_START,
-            )
+            error = errorAtDeadline(progress)
         } catch (disconnect: CancellationException) {
             recordAdmittedEnd(work, ResultCode.CALLER_LEFT, progress, planVersion)
             throw disconnect
@@ -103,6 +101,12 @@
         if (error != null) writeError(progress, error)
     }
 
+    private fun errorAtDeadline(progress: DeliveryProgress): RouterError? = when {
+        progress.callerResponse.isFinished -> null
+        progress.mayHaveRun -> RouterError(ResultCode.DEADLINE_PASSED)
+        else -> RouterError(ResultCode.DEADLINE_BEFORE_START)
+    }
+
     /** Sends [error] to the caller, or records that the request ends without a whole answer if one has started. */
     private fun writeError(progress: DeliveryProgress, error: RouterError) {
         if (progress.callerResponse.hasStarted) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.placement.Placement
 import org.heatherwind.core.work.Repeatability
 import org.heatherwind.core.work.WorkRequest
@@ -17,21 +18,22 @@
 import java.io.ByteArrayOutputStream
 
 /**
- * One attempt of a request on one target.
+ * One attempt of a request on one target: [connect], [send], then [forward].
  *
- * @param mayContinueElsewhere returns whether the request could be sent to another target now
+ * @param takeOver called when the response is overdue; returns whether another target has taken the request over, and
+ * this attempt is to end
  */
 internal class TargetAttempt(
     private val work: WorkRequest,
     private val request: ReceivedRequest,
-    private val placement: Placement,
+    val placement: Placement,
     private val progress: DeliveryProgress,
     private val urgency: Int?,
     private val protocol: CallerProtocol,
     private val client: TargetClient,
     private val clock: MonotonicClock,
     private val responseTimeouts: ResponseTimeoutPolicy,
-    private val mayContinueElsewhere: () -> Boolean,
+    private val takeOver: suspend (TargetAttempt) -> Boolean,
 ) {
     private val target = placement.target
     private val inFlight = target.recordSent(
@@ -47,26 +49,69 @@
     private var progressDeadline = clock.now()
     private var isOverdueRecorded = false
 
-    /** Sends the request and forwards the response to the caller. */
-    suspend fun run(): AttemptResult {
+    private var connection: ClientConnection? = null
+    private val mayHaveRunBefore = progress.mayHaveRun
+    private var isEnded = false
+
+    /** The head of the response, if [awaitAnswer] has received it and it was not processed yet. */
+    private var receivedHead: ResponsePart.Head? = null
+
+    /** Whether another target may take the request over from this attempt. */
+    private var isReplaceable = false
+
+    /** Connects to the target. Returns null if that succeeded, or the result. */
+    suspend fun connect(): AttemptResult? = endingWithResult {
         val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
-        var connection: ClientConnection? = null
-        var isComplete = false
+        connection = client.connect(target, isRepeatable)
+        if (connection != null) return@endingWithResult null
+        target.recordConnectionFailure(clock.now())
+        client.closeIdle(target)
+        AttemptResult.NotSent("could not connect")
+    }
+
+    /** Sends the request; the attempt must be connected. */
+    fun send(): Unit = endingOnFailure { send(checkNotNull(connection)) }
+
+    /**
+     * Waits until the target begins to answer the request that was sent, at most until [deadline]. Returns null then,
+     * or the result if the target does not answer it. Nothing is forwarded to the caller.
+     */
+    suspend fun awaitAnswer(deadline: MonotonicTime): AttemptResult? = endingWithResult {
+        awaitAnswer(checkNotNull(connection), deadline)
+    }
+
+    /** Forwards the response to the caller; the request must have been sent. */
+    suspend fun forward(): AttemptResult = endingWithResult {
+        isReplaceable = true
+        receive(checkNotNull(connection))
+    }
+
+    /** Ends the attempt, with [result] if it has one. An attempt without a result closes its connection. */
+    fun end(result: AttemptResult? = null) {
+        if (isEnded) return
+        isEnded = true
+        result?.let { recordResult(it) }
+        if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) {
+            progress.mayHaveRun = mayHaveRunBefore
+        }
+        target.recordEnded(inFlight)
+        val isComplete = result != null && result !is AttemptResult.Incomplete
+        connection?.let { client.release(target, it, isComplete) }
+    }
+
+    /** Runs [act] and ends the attempt if that returns a result or fails. */
+    private inline fun <T : AttemptResult?> endingWithResult(act: () -> T): T = endingOnFailure {
+        val result = act()
+        if (result != null) end(result)
+        result
+    }
+
+    private inline fun <T> endingOnFailure(act: () -> T): T {
+        var isSuccessful = false
         try {
-            connection = client.connect(target, isRepeatable)
-            if (connection == null) {
-                target.recordConnectionFailure(clock.now())
-                client.closeIdle(target)
-                return AttemptResult.NotSent("could not connect")
-            }
-            send(connection)
-            val result = receive(connection)
-            isComplete = result !is AttemptResult.Incomplete
-            recordResult(result)
-            return result
+            return act().also { isSuccessful = true }
         } finally {
-            target.recordEnded(inFlight)
-            connection?.let { client.release(target, it, isComplete) }
+            if (!isSuccessful) end()
         }
     }
 
@@ -109,7 +154,40 @@
         isFirstEventRecorded = true
     }
 
+    private suspend fun awaitAnswer(connection: ClientConnection, deadline: MonotonicTime): AttemptResult? {
+        while (true) {
+            when (val part = connection.receive(deadline)) {
+                null -> return null
+
+                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
+
+                is ResponsePart.Body -> part.content.release()
+
+                ResponsePart.End -> Unit
+
+                is ResponsePart.Head -> {
+                    if (isAnswer(part.response)) {
+                        receivedHead = part
+                        return null
+                    }
+                    receiveResponse(connection, part.response)?.let { return it }
+                }
+            }
+        }
+    }
+
+    /** Whether [response] begins an answer of the target that can be forwarded. */
+    private fun isAnswer(response: HttpResponse): Boolean {
+        val head = protocol.readResponse(response)
+        return head.requestId == work.id && !head.isNotRun && head.isSigned && head.status in SUCCESS_STATUSES &&
+            !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+    }
+
     private suspend fun receive(connection: ClientConnection): AttemptResult {
+        receivedHead?.let { head ->
+            receivedHead = null
+            receiveResponse(connection, head.response)?.let { return it }
+        }
         while (true) {
             val part = nextPart(connection)
                 ?: return AttemptResult.Incomplete("no response before the progress deadline")
@@ -282,14 +360,17 @@
     }
 
     /**
-     * Returns the next part, or null if the response is overdue and the request can continue on another target. If it
-     * cannot, a slow response is better than none, so this waits on.
+     * Returns the next part, or null if the response is overdue and another target has taken the request over. If none
+     * has, a slow response is better than none, so this waits on.
      */
     private suspend fun nextPart(connection: ClientConnection): ResponsePart? {
-        connection.receive(progressDeadline)?.let { return it }
-        if (!isOverdueRecorded) target.recordConnectionFailure(clock.now())
-        isOverdueRecorded = true
-        return if (mayContinueElsewhere()) null else connection.receive()
+        while (true) {
+            connection.receive(progressDeadline)?.let { return it }
+            if (!isOverdueRecorded) target.recordConnectionFailure(clock.now())
+            if (!isReplaceable || takeOver(this)) return null
+            extendProgress(hasStarted = true)
+            isOverdueRecorded = true
+        }
     }
 
     private fun isEventStream(response: HttpResponse): Boolean = work.route.isStream &&
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -26,32 +26,83 @@
 
     /** Attempts in which the request was sent, including misdirected ones. */
     private var sentAttempts = 0
-    private var lastFailure: AttemptResult.Failed? = null
     private var error = RouterError(ResultCode.NO_TARGET_FREE, RETRY_AFTER_MILLISECONDS)
 
+    /** The attempt that has taken the request over from the current one, which is about to end. */
+    private var successor: TargetAttempt? = null
+
     /** Tries targets until a response is delivered. Returns null if one was, or the error for the caller. */
     suspend fun run(): RouterError? {
+        try {
+            var attempt = startNext()
+            while (attempt != null) {
+                if (recordResult(attempt, attempt.forward())) return null
+                attempt = takeSuccessor() ?: startNext()
+            }
+        } finally {
+            takeSuccessor()?.end()
+        }
+        return if (progress.deliverFailure()) null else error
+    }
+
+    /** Sends the request to a target. Returns the attempt, or null if no further target can be tried. */
+    private suspend fun startNext(): TargetAttempt? {
         while (mayAttempt()) {
-            val placement = choose() ?: break
+            val placement = choose() ?: return null
             if (sentAttempts == 0) context.retries.recordFirstAttempt(service, context.clock.now())
-            if (recordResult(attempt(placement))) return null
+            val attempt = newAttempt(placement)
+            val result = attempt.connect()
+            if (result == null) return attempt.apply { send() }
+            recordResult(attempt, result)
         }
-        val failure = lastFailure ?: return error
-        if (progress.callerResponse.hasStarted) return error
-        progress.callerResponse.respond(failure.status, failure.headers, failure.body)
         return null
     }
 
+    /**
+     * Sends the request to another target while the response of the [current] one is overdue. Returns whether that
+     * target has taken the request over, as [successor]; otherwise the current attempt goes on.
+     */
+    private suspend fun takeOver(current: TargetAttempt): Boolean {
+        while (mayTakeOver()) {
+            val placement = choose() ?: break
+            if (!context.retries.tryAcquire(service, context.clock.now())) break
+            val attempt = newAttempt(placement)
+            val result = startBeside(attempt)
+            if (result == null) {
+                successor = attempt
+                return true
+            }
+            recordResult(attempt, result)
+        }
+        context.log.request(
+            work.id,
+            "Kept a target whose response is overdue.",
+            "target" to current.placement.target.entry.id.value,
+            "triedTargets" to triedTargets.size,
+            "countedAttempts" to countedAttempts,
+            "events" to progress.eventCount,
+        )
+        return false
+    }
+
+    /** Starts [attempt] beside the current one. Returns null if it has taken the request over, or its result. */
+    private suspend fun startBeside(attempt: TargetAttempt): AttemptResult? {
+        attempt.connect()?.let { return it }
+        attempt.send()
+        return attempt.awaitAnswer(context.clock.now().plusMilliseconds(MAXIMUM_OVERLAP_MILLISECONDS))
+    }
+
+    private fun takeSuccessor(): TargetAttempt? = successor.also { successor = null }
+
     private fun mayAttempt(): Boolean {
         val isWithinLimits = triedTargets.size < MAXIMUM_TARGETS && countedAttempts < work.route.maximumTargets &&
             (!progress.mayHaveRun || mayRetry())
         return isWithinLimits && (sentAttempts == 0 || context.retries.tryAcquire(service, context.clock.now()))
     }
 
-    /** Returns whether the request could be sent to another target if the current attempt were given up. */
-    private fun mayContinueElsewhere(): Boolean =
-        triedTargets.size < MAXIMUM_TARGETS && countedAttempts + 1 < work.route.maximumTargets && mayRetry() &&
-            context.retries.isAvailable(service, context.clock.now()) && choose() != null
+    /** Returns whether the request may be sent to another target while the current attempt is under way. */
+    private fun mayTakeOver(): Boolean =
+        triedTargets.size < MAXIMUM_TARGETS && countedAttempts + 1 < work.route.maximumTargets && mayRetry()
 
     private fun mayRetry(): Boolean = when (work.route.repeatability) {
         Repeatability.AtMostOnce -> false
@@ -73,13 +124,12 @@
         )
     }
 
-    private suspend fun attempt(placement: Placement): AttemptResult {
-        val mayHaveRunBefore = progress.mayHaveRun
+    private fun newAttempt(placement: Placement): TargetAttempt {
         triedTargets += placement.target.entry.id
         context.metrics.countSend(service.value, isFirst = sentAttempts == 0)
         logChoice(placement)
         work.tokens?.let { context.announcements.announce(placement, it) }
-        val result = TargetAttempt(
+        return TargetAttempt(
             work = work,
             request = request,
             placement = placement,
@@ -89,17 +139,13 @@
             client = context.client,
             clock = context.clock,
             responseTimeouts = context.responseTimeouts,
-            mayContinueElsewhere = ::mayContinueElsewhere,
-        ).run()
-        if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) {
-            progress.mayHaveRun = mayHaveRunBefore
-        }
-        logResult(placement, result)
-        return result
+            takeOver = ::takeOver,
+        )
     }
 
-    /** Records the [result] of an attempt. Returns whether the request is complete. */
-    private fun recordResult(result: AttemptResult): Boolean {
+    /** Records the [result] of [attempt]. Returns whether the request is complete. */
+    private fun recordResult(attempt: TargetAttempt, result: AttemptResult): Boolean {
+        logResult(attempt.placement, result)
         if (result !is AttemptResult.NotSent) sentAttempts++
         when (result) {
             is AttemptResult.Delivered -> return true
@@ -113,7 +159,7 @@
 
             is AttemptResult.Failed -> {
                 countedAttempts++
-                lastFailure = result
+                progress.lastFailure = result
                 error = RouterError(ResultCode.TARGET_FAILED)
             }
 
@@ -158,5 +204,11 @@
         /** Fraction of a target's connections shared by the routers; the rest is for health checks and uneven use. */
         const val CONNECTION_SHARE = 0.9
         const val MINIMUM_CONNECTIONS = 2
+
+        /**
+         * How long a silent target's connection stays open after the request was sent to another one. A full target
+         * refuses within some milliseconds; two targets must not work on one request for 400 ms.
+         */
+        const val MAXIMUM_OVERLAP_MILLISECONDS = 200L
     }
 }
