Send a target's error response if its retry has no response at the deadline

Cause: the complete error response of the first target was kept only inside the loop over targets; when the deadline ended the retry, the caller got 504 instead of what a target had answered. Change: the last error response is part of the request's progress, and is sent at the deadline.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -102,7 +102,7 @@
     }
 
     private fun errorAtDeadline(progress: DeliveryProgress): RouterError? = when {
-        progress.callerResponse.isFinished -> null
+        progress.callerResponse.isFinished || progress.deliverFailure() -> null
         progress.mayHaveRun -> RouterError(ResultCode.DEADLINE_PASSED)
         else -> RouterError(ResultCode.DEADLINE_BEFORE_START)
     }
