Keep a caller's connection open until its answers are sent

Cause: a connection counted as idle when its request had ended, although the answer was still in the outbound buffer. The idle timeout and a planned stop then closed it, which discards that buffer: a slow reader got part of a complete answer. Change: a connection is idle only when everything that was written has been handed to the operating system, and the idle time runs from then. Measured: the new case of CallerConnectionTest (an answer whose writes are held back, 10 s later) failed before and passes now.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -48,12 +48,15 @@
     private var activeJob: Job? = null
     private var pendingTimeout: ScheduledFuture<*>? = null
     private var isRejected = false
+    private var lastResponse: CallerResponseWriter? = null
 
-    /** When the connection was accepted, or its last request ended. */
+    /** When the connection was accepted, or its last response was sent. */
     private var idleSince = shared.clock.now()
 
-    /** Whether no request is being received, queued or served. */
-    val isIdle: Boolean get() = activeJob == null && partialRequest == null && queued.isEmpty()
+    private val hasNoRequest: Boolean get() = activeJob == null && partialRequest == null && queued.isEmpty()
+
+    /** Whether no request is being received, queued or served, and all responses were sent. */
+    val isIdle: Boolean get() = hasNoRequest && lastResponse?.isSent != false
 
     /** Whether the connection is idle at [now] and a request that its caller sent at once would have arrived. */
     fun isClosable(now: MonotonicTime): Boolean =
@@ -131,6 +134,7 @@
         val response = CallerResponseWriter(context.channel(), request.head, shared.clock) {
             !isRejected && !shared.isDraining()
         }
+        lastResponse = response
         val job = shared.scope.launch(start = CoroutineStart.LAZY) {
             try {
                 // A caller that left while the router had no processor time is not served.
@@ -144,7 +148,7 @@
             context.channel().eventLoop().execute {
                 shared.bodyMemory.release(request.body.size)
                 activeJob = null
-                idleSince = shared.clock.now()
+                response.onSent { idleSince = shared.clock.now() }
                 if (!context.channel().config().isAutoRead) context.channel().config().isAutoRead = true
                 serveNext(context)
             }
@@ -164,12 +168,16 @@
     private fun scheduleIdleTimeout(context: ChannelHandlerContext) {
         pendingTimeout?.cancel(false)
         pendingTimeout = context.executor().schedule(
-            { if (isIdle) context.close() },
+            { closeIfIdle(context) },
             shared.limits().idleTimeoutMilliseconds,
             TimeUnit.MILLISECONDS,
         )
     }
 
+    private fun closeIfIdle(context: ChannelHandlerContext) {
+        if (isIdle) context.close() else if (hasNoRequest) scheduleIdleTimeout(context)
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         pendingTimeout?.cancel(false)
         partialRequest?.let { shared.bodyMemory.release(it.acquiredBytes) }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerResponseWriter.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerResponseWriter.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -38,6 +39,11 @@
     var isFinished = false
         private set
 
+    private var lastWrite: ChannelFuture? = null
+
+    /** Whether everything that was written has been handed to the operating system, or failed. */
+    val isSent: Boolean get() = lastWrite?.isDone ?: true
+
     /** When the head was written, or null before. */
     var startedAt: MonotonicTime? = null
         private set
@@ -59,7 +65,7 @@
         setConnectionHeader(response)
         startedAt = clock.now()
         isFinished = true
-        val written = channel.writeAndFlush(response)
+        val written = channel.writeAndFlush(response).also { lastWrite = it }
         written.addListener(if (isKeptAlive) ChannelFutureListener.CLOSE_ON_FAILURE else ChannelFutureListener.CLOSE)
     }
 
@@ -82,10 +88,16 @@
     /** Completes a response that [start] began. */
     fun finish() {
         isFinished = true
-        val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).also { lastWrite = it }
         written.addListener(if (isKeptAlive) ChannelFutureListener.CLOSE_ON_FAILURE else ChannelFutureListener.CLOSE)
     }
 
+    /** Calls [act] when [isSent] becomes true. */
+    fun onSent(act: () -> Unit) {
+        val write = lastWrite
+        if (write == null) act() else write.addListener { act() }
+    }
+
     /** Closes the connection if the response is not complete. */
     fun closeIfUnfinished() {
         if (!isFinished && channel.isOpen) channel.close()
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -1,9 +1,14 @@
 package org.heatherwind.gateway.caller
 
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOutboundHandlerAdapter
+import io.netty.channel.ChannelPromise
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpResponseEncoder
+import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
@@ -12,7 +17,10 @@
 import org.heatherwind.core.identity.MonotonicTime
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 /**
  * Given a planned stop under load, when connections are closed, then those whose request is being served or may be on
@@ -51,6 +59,41 @@
             }
         }
 
+    // Guards against complete answers that are cut when their connection is closed before the caller has read them.
+    @Test
+    fun `given an answer that was not sent completely when the router stops then the connection stays open`() {
+        var now = MonotonicTime(0)
+        val held = mutableListOf<ChannelPromise>()
+        val connection = CallerConnection(context({ now }) { response -> response.respond("whole") })
+        val holdingWrites = object : ChannelOutboundHandlerAdapter() {
+            override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+                ReferenceCountUtil.release(message)
+                held += promise
+            }
+        }
+        val channel =
+            EmbeddedChannel(holdingWrites, StrictRequestDecoder(HttpDecoderConfig()), HttpResponseEncoder(), connection)
+        channel.writeInbound(Unpooled.copiedBuffer(REQUEST_HEAD + "frit", Charsets.UTF_8))
+        now = now.plusMilliseconds(10_000)
+        assertFalse(connection.isClosable(now))
+        assertTrue(channel.isOpen)
+        held.toList().forEach { it.setSuccess() }
+        now = now.plusMilliseconds(10_000)
+        assertTrue(connection.isClosable(now) || !channel.isOpen)
+    }
+
+    private fun context(clock: MonotonicClock, serve: suspend (CallerResponseWriter) -> Unit) = CallerContext(
+        scope = CoroutineScope(Dispatchers.Unconfined),
+        clock = clock,
+        limits = { CallerLimits() },
+        isDraining = { true },
+        bodyMemory = BodyMemory(1_000_000),
+        handler = { _, response -> serve(response) },
+    )
+
+    private fun CallerResponseWriter.respond(body: String): Unit =
+        respond(200, DefaultHttpHeadersFactory.headersFactory().newHeaders(), body.encodeToByteArray())
+
     private companion object {
         const val REQUEST_HEAD = "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\n"
     }
