Answer pipelined requests behind a response that would close the connection

Cause: in a planned stop, and behind a rejected request, each response carried 'Connection: close' and closed the connection, though a further whole request, or the rejected one, waited for its answer. Change: the connection is closed with the answer to the last request that was received. Measured: both new cases of CallerConnectionTest had one response of two before and have both now.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -132,7 +132,7 @@
         val request = queued.removeFirstOrNull() ?: return scheduleIdleTimeout(context)
         pendingTimeout?.cancel(false)
         val response = CallerResponseWriter(context.channel(), request.head, shared.clock) {
-            !isRejected && !shared.isDraining()
+            queued.isNotEmpty() || (!isRejected && !shared.isDraining())
         }
         lastResponse = response
         val job = shared.scope.launch(start = CoroutineStart.LAZY) {
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -1,5 +1,6 @@
 package org.heatherwind.gateway.caller
 
+import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelOutboundHandlerAdapter
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpResponseEncoder
 import io.netty.util.ReferenceCountUtil
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
@@ -82,6 +84,35 @@
         assertTrue(connection.isClosable(now) || !channel.isOpen)
     }
 
+    // Guards against whole pipelined requests without an answer behind a response that closes the connection.
+    @TestFactory
+    fun `given pipelined requests when the connection is to be closed then all are answered`(): List<DynamicTest> =
+        listOf(
+            "a second request in a stop" to REQUEST_HEAD + "frit",
+            "a second request that is malformed" to "NONSENSE\r\n\r\n",
+        ).map { (name, second) ->
+            DynamicTest.dynamicTest(name) {
+                val release = CompletableDeferred<Unit>()
+                val shared = context({ MonotonicTime(0) }) { response ->
+                    release.await()
+                    response.respond("whole")
+                }
+                val channel = EmbeddedChannel(
+                    StrictRequestDecoder(HttpDecoderConfig()),
+                    HttpResponseEncoder(),
+                    CallerConnection(shared),
+                )
+                channel.writeInbound(Unpooled.copiedBuffer(REQUEST_HEAD + "frit" + second, Charsets.UTF_8))
+                release.complete(Unit)
+                channel.runPendingTasks()
+                val sent = generateSequence { channel.readOutbound<ByteBuf>() }
+                    .joinToString("") { it.toString(Charsets.UTF_8) }
+                val connectionHeaders = sent.lines().filter { it.startsWith("connection:") }
+                assertEquals(listOf("connection: keep-alive", "connection: close"), connectionHeaders)
+                assertFalse(channel.isOpen)
+            }
+        }
+
     private fun context(clock: MonotonicClock, serve: suspend (CallerResponseWriter) -> Unit) = CallerContext(
         scope = CoroutineScope(Dispatchers.Unconfined),
         clock = clock,
