--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerResponseWriter.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerResponseWriter.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
@@ -33,7 +34,15 @@
     private val mayKeepAlive: () -> Boolean,
 ) {
     private var isKeptAlive = false
-    private var isFinished = false
+
+    /** Whether the complete response has been written. */
+    var isFinished = false
+        private set
+
+    private var lastWrite: ChannelFuture? = null
+
+    /** Whether everything that was written has been handed to the operating system, or failed. */
+    val isSent: Boolean get() = lastWrite?.isDone ?: true
 
     /** When the head was written, or null before. */
     var startedAt: MonotonicTime? = null
@@ -56,8 +65,8 @@
         setConnectionHeader(response)
         startedAt = clock.now()
         isFinished = true
-        val written = channel.writeAndFlush(response)
-        if (!isKeptAlive) written.addListener(ChannelFutureListener.CLOSE)
+        val written = channel.writeAndFlush(response).also { lastWrite = it }
+        written.addListener(if (isKeptAlive) ChannelFutureListener.CLOSE_ON_FAILURE else ChannelFutureListener.CLOSE)
     }
 
     /** Sends the head of a response whose body follows in chunks. */
@@ -79,8 +88,14 @@
     /** Completes a response that [start] began. */
     fun finish() {
         isFinished = true
-        val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-        if (!isKeptAlive) written.addListener(ChannelFutureListener.CLOSE)
+        val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).also { lastWrite = it }
+        written.addListener(if (isKeptAlive) ChannelFutureListener.CLOSE_ON_FAILURE else ChannelFutureListener.CLOSE)
+    }
+
+    /** Calls [act] when [isSent] becomes true. */
+    fun onSent(act: () -> Unit) {
+        val write = lastWrite
+        if (write == null) act() else write.addListener { act() }
     }
 
     /** Closes the connection if the response is not complete. */
