Reject addresses out of range in the reports of routers

Cause: socketAddressOf passed any port to InetSocketAddress, which throws IllegalArgumentException for one out of range. PeerReports caught SerializationException only, so one such report ended the reader of the reports for good.

PeerReports ignores a report with any invalid argument.

Deep nesting is no fault: the JSON library in use rejects it (an error of the parser from 500 levels on, the least tried).

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -1,6 +1,5 @@
 package org.heatherwind.gateway.state
 
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.identity.CustomerId
@@ -133,7 +132,7 @@
         try {
             val report = Json.decodeFromString(RouterReport.serializer(), value.decodeToString())
             latestByInstance[InstanceId(record.key)] = ReceivedReport(report, now)
-        } catch (failure: SerializationException) {
+        } catch (failure: IllegalArgumentException) {
             log.stateChange(
                 "reports",
                 "Ignored a report that could not be parsed.",
