Go on reading a partition after an unexpected failure

Cause: the coroutine of a StreamFollower ended with the first exception that a subscriber or the store's client threw. The router then kept the plan, targets or reports of that moment until its next start, with one log line "A task failed." that names neither the partition nor the record.

Change: a failure is logged with the partition, the offset and its class. If a poll fails, the next one follows after a longer pause.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
@@ -1,5 +1,6 @@
 package org.heatherwind.gateway.state
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
@@ -56,14 +57,26 @@
     private var unreachableSince: MonotonicTime? = null
     private var isLastReadLarge = false
 
-    /** Polls until cancelled. */
+    /** Polls until cancelled. A poll that fails is logged, and the next one follows after a pause. */
     suspend fun run() {
         while (currentCoroutineContext().isActive) {
-            poll()
-            delay(pollingPolicy().pauseMilliseconds + if (isLastReadLarge) LARGE_PAUSE_MILLISECONDS else 0)
+            val isFailed = !tryPoll()
+            val extraMilliseconds = if (isLastReadLarge || isFailed) EXTRA_PAUSE_MILLISECONDS else 0
+            delay(pollingPolicy().pauseMilliseconds + extraMilliseconds)
         }
     }
 
+    @Suppress("TooGenericExceptionCaught") // Only a failure that is unknown here can get this far.
+    private suspend fun tryPoll(): Boolean = try {
+        poll()
+        true
+    } catch (cancellation: CancellationException) {
+        throw cancellation
+    } catch (failure: RuntimeException) {
+        logFailure("A poll failed.", nextOffset, failure)
+        false
+    }
+
     /** Reads once and passes the records to the subscriber. */
     suspend fun poll() {
         val pollingPolicy = pollingPolicy()
@@ -77,7 +90,7 @@
         when (read) {
             is StreamRead.Records -> {
                 isLastReadLarge = read.records.sumOf { it.value?.size ?: 0 } > LARGE_BYTES
-                if (from == null) subscriber.onSnapshot(read.records) else subscriber.onRecords(read.records)
+                deliver(read.records, isSnapshot = from == null)
                 nextOffset = read.nextOffset
                 recordReachable()
             }
@@ -94,6 +107,34 @@
         }
     }
 
+    /** Passes [records] to the subscriber. If it fails, passes them one by one and leaves out those on which it fails. */
+    private fun deliver(records: List<KeyedRecord>, isSnapshot: Boolean) {
+        val deliverAll = { all: List<KeyedRecord> ->
+            if (isSnapshot) subscriber.onSnapshot(all) else subscriber.onRecords(all)
+        }
+        if (tryDeliver(records.firstOrNull()) { deliverAll(records) }) return
+        val accepted = records.filter { record -> tryDeliver(record) { subscriber.onRecords(listOf(record)) } }
+        if (isSnapshot) subscriber.onSnapshot(accepted)
+    }
+
+    @Suppress("TooGenericExceptionCaught") // Whatever a record causes, the records after it are needed.
+    private fun tryDeliver(first: KeyedRecord?, deliver: () -> Unit): Boolean = try {
+        deliver()
+        true
+    } catch (failure: RuntimeException) {
+        logFailure("Records could not be processed.", first?.offset, failure)
+        false
+    }
+
+    private fun logFailure(sentence: String, offset: Long?, failure: RuntimeException): Unit = log.stateChange(
+        "stream",
+        sentence,
+        "partition" to partition,
+        "offset" to offset,
+        "failure" to failure.javaClass.name,
+        "reason" to failure.message?.take(MAXIMUM_REASON_CHARACTERS),
+    )
+
     /** Reads the first new record, then the last one. If their keys differ, reads the newest record of each key. */
     private suspend fun readSkippingReplaced(from: Long, pollingPolicy: PollingPolicy): StreamRead {
         val first = store.read(partition, from, pollingPolicy.waitMilliseconds, SMALLEST_READ_KILOBYTES)
@@ -131,7 +172,11 @@
         /** A read of this size takes about 0.1 s on the slowest supported links. */
         const val LARGE_BYTES = 100_000
 
-        /** Leaves most of a slow link's bandwidth to requests while large records are added at short intervals. */
-        const val LARGE_PAUSE_MILLISECONDS = 500L
+        /**
+         * Leaves most of a slow link's bandwidth to requests while large records are added at short intervals, and most
+         * of the processor's time while polls fail.
+         */
+        const val EXTRA_PAUSE_MILLISECONDS = 500L
+        const val MAXIMUM_REASON_CHARACTERS = 200
     }
 }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.state
 
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import org.heatherwind.core.identity.MonotonicClock
@@ -80,11 +81,73 @@
             }
         }
 
-    private class Recorder(private val received: MutableMap<String, String>) : StreamSubscriber {
+    // Guards against one record that ends the reading of its partition or hides the records read with it.
+    @TestFactory
+    fun `given a subscriber that fails on a record when polled then the other records and later ones arrive`() =
+        listOf(true, false).map { isInSnapshot ->
+            DynamicTest.dynamicTest(if (isInSnapshot) "in the snapshot" else "in the records after it") {
+                runTest {
+                    val bad = listOf("a" to "1", "bad" to "1", "b" to "1")
+                    val store = ListStore(if (isInSnapshot) bad.toMutableList() else mutableListOf())
+                    val received = LinkedHashMap<String, String>()
+                    val clock = MonotonicClock { MonotonicTime(currentTime) }
+                    val follower = StreamFollower(
+                        store = store,
+                        partition = StreamPartition("targets"),
+                        pollingPolicy = { PollingPolicy(waitMilliseconds = 0, pauseMilliseconds = 100) },
+                        clock = clock,
+                        log = DecisionLog(clock, GatewayMetrics()),
+                        subscriber = Recorder(received, failingKey = "bad"),
+                    )
+                    backgroundScope.launch { follower.run() }
+                    testScheduler.advanceTimeBy(1_000)
+                    if (!isInSnapshot) store.stored += bad
+                    testScheduler.advanceTimeBy(1_000)
+                    store.stored += "c" to "1"
+                    testScheduler.advanceTimeBy(1_000)
+                    assertEquals(mapOf("a" to "1", "b" to "1", "c" to "1"), received)
+                }
+            }
+        }
+
+    // Guards against a failure of the store's client that ends the reading of a partition.
+    @TestFactory
+    fun `given a read that fails when polled again then the records arrive`(): List<DynamicTest> =
+        listOf(IllegalArgumentException("odd response"), IllegalStateException("odd state")).map { failure ->
+            DynamicTest.dynamicTest(failure.message) {
+                runTest {
+                    val store = ListStore(mutableListOf("a" to "1"))
+                    val received = LinkedHashMap<String, String>()
+                    val clock = MonotonicClock { MonotonicTime(currentTime) }
+                    val follower = StreamFollower(
+                        store = store,
+                        partition = StreamPartition("targets"),
+                        pollingPolicy = { PollingPolicy(waitMilliseconds = 0, pauseMilliseconds = 100) },
+                        clock = clock,
+                        log = DecisionLog(clock, GatewayMetrics()),
+                        subscriber = Recorder(received),
+                    )
+                    store.failure = failure
+                    backgroundScope.launch { follower.run() }
+                    testScheduler.advanceTimeBy(1_000)
+                    store.failure = null
+                    testScheduler.advanceTimeBy(1_000)
+                    assertEquals(mapOf("a" to "1"), received)
+                }
+            }
+        }
+
+    private class Recorder(
+        private val received: MutableMap<String, String>,
+        private val failingKey: String? = null,
+    ) : StreamSubscriber {
         override fun onSnapshot(records: List<KeyedRecord>) = onRecords(records)
 
         override fun onRecords(records: List<KeyedRecord>) {
-            records.forEach { received[it.key] = it.value?.decodeToString().orEmpty() }
+            records.forEach {
+                check(it.key != failingKey) { "failed on ${it.key}" }
+                received[it.key] = it.value?.decodeToString().orEmpty()
+            }
         }
 
         override fun onCurrent(now: MonotonicTime, isReconnected: Boolean) = Unit
@@ -93,6 +156,7 @@
     /** Returns one record for a read of the smallest size, as the platform's store does. */
     private class ListStore(val stored: MutableList<Pair<String, String>>) : RecordStore {
         var recordsRead = 0
+        var failure: RuntimeException? = null
 
         override suspend fun read(
             partition: StreamPartition,
@@ -100,6 +164,7 @@
             waitMilliseconds: Long,
             maximumKilobytes: Int,
         ): StreamRead {
+            failure?.let { throw it }
             val all = stored.drop(from.toInt()).mapIndexed { index, (key, value) -> record(from + index, key, value) }
             val read = if (maximumKilobytes == 1) all.take(1) else all
             recordsRead += read.size
@@ -107,6 +172,7 @@
         }
 
         override suspend fun newest(partition: StreamPartition): StreamRead {
+            failure?.let { throw it }
             val latest = stored.withIndex().associate { (offset, pair) -> pair.first to record(offset.toLong(), pair) }
             recordsRead += latest.size
             return StreamRead.Records(latest.values.toList(), stored.size.toLong())
