Take no copy of an earlier refusal for the answer to a request

Callers saw (in the tests): 503, "not run", for an order that the target ran, after the target had written a refusal once more on a kept connection.

Cause: the reader dropped only complete messages that arrived while the connection was idle and the event loop happened to read them then. A copy that began with the refusal stayed in the decoder, one that was unread when the connection was taken from the pool was read after the next request was sent, and a refusal without an ID was believed on any connection. A refusal with the ID of the request itself was believed after the request was sent once more to the same address, under another entry, on the same connection.

Change: - Bytes on an idle connection close it before they are decoded. Before reuse, the connection is read once; this also finds connections that the target has closed. A connection on which bytes follow the response is not kept, also if they are not a whole message (ResponseDecoder). - A refusal without an ID counts as "not run" only as the response to the first request on a connection. On a reused one the outcome is unknown: 502, and a request that may run at most once is not sent again. - A request is not sent twice on one connection.

A target's copy that arrives after the next request was sent cannot be told from its answer unless it bears an ID; hence the unknown outcome, also for 421.

Evidence: ConnectionPoolTest (9 cases, 6 failed on the code before), RepeatedRefusalsTest (16 cases, 9 failed on the code before with 503 for an order that ran; the case of two entries with one address failed with the reuse of the connection put back). All pass now, and so do ResponsesTest and RequestsTest.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.nio.AbstractNioChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpContent
@@ -40,8 +41,13 @@
     private val parts = Queue<ResponsePart>(Queue.UNLIMITED)
     private var bufferedBytes = 0
     private var isRequestWritten = true
+    private val decoder = channel.pipeline().get(ResponseDecoder::class.java)
     private var isResponseFramed = true
 
+    /** Requests sent on the connection. */
+    var requestCount = 0
+        private set
+
     /** Whether a request is in progress on the connection. */
     var isBusy = false
         private set
@@ -62,13 +68,24 @@
     val isOpen: Boolean get() = channel.isActive
 
     init {
+        channel.pipeline().addFirst(UnsolicitedBytesReader())
         channel.pipeline().addLast(ResponseReader())
     }
 
+    /**
+     * Reads the bytes that have arrived on this idle connection, which belong to no request and close it. They would
+     * otherwise be taken for the response to the next request if the event loop had not yet read them.
+     */
+    fun readArrivedBytes() {
+        (channel.unsafe() as? AbstractNioChannel.NioUnsafe)?.takeIf { isOpen && !isBusy }?.read()
+    }
+
     /** Writes a request with the complete [body]. */
     fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) {
         isBusy = true
         isRequestWritten = false
+        requestCount++
+        decoder.requestMethod = method
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             method,
@@ -109,7 +126,8 @@
             keepAliveSeconds?.let {
                 idleSince.plusMilliseconds(it * MILLISECONDS_PER_SECOND - IDLE_MARGIN_MILLISECONDS)
             }
-        return isOpen && isRequestWritten && isResponseFramed && !isClosing && parts.isEmpty
+        return isOpen && isRequestWritten && isResponseFramed && !isClosing && parts.isEmpty &&
+            !decoder.hasFurtherBytes
     }
 
     /** Closes the connection and releases the parts that were not received. */
@@ -122,13 +140,20 @@
         channel.close()
     }
 
-    private inner class ResponseReader : ChannelInboundHandlerAdapter() {
+    /** Closes the connection when bytes arrive on it while no request is in progress, before they are decoded. */
+    private inner class UnsolicitedBytesReader : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (!isBusy) {
+            if (isBusy) {
+                context.fireChannelRead(message)
+            } else {
                 ReferenceCountUtil.release(message)
                 context.close()
-                return
             }
+        }
+    }
+
+    private inner class ResponseReader : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
             if (message is HttpResponse) receiveHead(message)
             if (message is HttpContent) receiveContent(message)
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
@@ -6,8 +6,8 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
 import java.net.InetSocketAddress
@@ -24,7 +24,7 @@
         Bootstrap().group(eventLoop).channel(NioSocketChannel::class.java)
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(HttpClientCodec(decoderConfig(), false, false))
+                    channel.pipeline().addLast(ResponseDecoder(decoderConfig()), HttpRequestEncoder())
                 }
             }),
     )
@@ -34,6 +34,7 @@
         val pooled = idle[address] ?: return null
         while (true) {
             val connection = pooled.removeLastOrNull() ?: return null
+            connection.readArrivedBytes()
             val now = clock.now()
             val isUsable = connection.isOpen && connection.idleSince >= usableSince &&
                 connection.idleDeadline.let { it == null || now < it }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.serve
 
 import org.heatherwind.gateway.caller.CallerResponseWriter
+import org.heatherwind.gateway.http.ClientConnection
 
 /** What the caller has received of the response, over all attempts. */
 internal class DeliveryProgress(val callerResponse: CallerResponseWriter) {
@@ -15,6 +16,9 @@
     /** Whether a target may have started to run the request. */
     var mayHaveRun = false
 
+    /** Connections on which the request was sent; a copy of an earlier response may still arrive on them. */
+    val connections: MutableSet<ClientConnection> = HashSet()
+
     /** Charges events to the customer, or null where nothing is charged. */
     var meter: TokenMeter? = null
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -54,7 +54,7 @@
         var connection: ClientConnection? = null
         var isComplete = false
         try {
-            connection = client.connect(target, isRepeatable)
+            connection = client.connect(target, isRepeatable, excluded = progress.connections)
             if (connection == null) {
                 target.recordConnectionFailure(clock.now())
                 client.closeIdle(target)
@@ -73,6 +73,7 @@
 
     private fun send(connection: ClientConnection) {
         progress.mayHaveRun = true
+        progress.connections += connection
         val instruction = TargetInstruction(
             target = target.entry.id,
             customer = work.customer?.id,
@@ -135,7 +136,8 @@
             connection.isClosing = true
             return when {
                 head.requestId != null -> null
-                head.isNotRun -> notRun(head)
+                // A copy of an earlier refusal may arrive on a connection that carried other requests.
+                head.isNotRun && connection.requestCount == 1 -> notRun(head)
                 else -> AttemptResult.Incomplete("a response without a request ID")
             }
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
@@ -16,12 +16,19 @@
 
     /**
      * Returns a connection to [target], or null if none could be established. A request that may run at most once uses
-     * a new or recently used connection, since the failure of a stale one would leave its outcome unknown.
+     * a new or recently used connection, since the failure of a stale one would leave its outcome unknown. Connections in
+     * [excluded] are not reused.
      */
-    suspend fun connect(target: TargetLoad, isRepeatable: Boolean): ClientConnection? {
+    suspend fun connect(
+        target: TargetLoad,
+        isRepeatable: Boolean,
+        excluded: Set<ClientConnection> = emptySet(),
+    ): ClientConnection? {
         val maximumIdle = if (isRepeatable) MAXIMUM_IDLE_MILLISECONDS else MAXIMUM_IDLE_NOT_REPEATABLE_MILLISECONDS
         val address = addressOf(target)
-        return connections.acquireIdle(address, clock.now().plusMilliseconds(-maximumIdle))
+        val idle = connections.acquireIdle(address, clock.now().plusMilliseconds(-maximumIdle))
+        if (idle != null && idle in excluded) idle.close()
+        return idle?.takeUnless { it in excluded }
             ?: connections.connect(address, CONNECT_TIMEOUT_MILLISECONDS)
     }
 
