Complete a response without length only at its peer's end

Cause: Netty's decoder ends a response without length whenever the channel becomes inactive. A reset that is seen by a read was reported before that end, but after a close by this process (a failed write, a shutdown) the response looked complete, and its caller got a success with a part of the body.

Change: the end of the peer's output is now reported as an event (ALLOW_HALF_CLOSURE), which the reader notes before the decoder sees it. Without it the response has failed. The connection is closed on both, as before.

Evidence: ResponseEndTest; of its five cases, the close by this process failed on the code before (End instead of Failed). A reset and an end between chunks were right before. All pass now.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.nio.AbstractNioChannel
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpContent
@@ -42,7 +43,13 @@
     private var bufferedBytes = 0
     private var isRequestWritten = true
     private val decoder = channel.pipeline().get(ResponseDecoder::class.java)
-    private var isResponseFramed = true
+
+    /** Whether the current response states where it ends; others end with the connection. */
+    var isResponseFramed = true
+        private set
+
+    /** Whether the peer ended the connection, as opposed to a reset or to a close by this process. */
+    private var isEndedByPeer = false
 
     /** Requests sent on the connection. */
     var requestCount = 0
@@ -68,7 +75,7 @@
     val isOpen: Boolean get() = channel.isActive
 
     init {
-        channel.pipeline().addFirst(UnsolicitedBytesReader())
+        channel.pipeline().addFirst(RawReader())
         channel.pipeline().addLast(ResponseReader())
     }
 
@@ -140,8 +147,11 @@
         channel.close()
     }
 
-    /** Closes the connection when bytes arrive on it while no request is in progress, before they are decoded. */
-    private inner class UnsolicitedBytesReader : ChannelInboundHandlerAdapter() {
+    /**
+     * Precedes the decoder. Closes the connection when bytes arrive on it while no request is in progress, and notes its
+     * end, which the decoder takes for the end of a response without length however the connection ended.
+     */
+    private inner class RawReader : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             if (isBusy) {
                 context.fireChannelRead(message)
@@ -150,6 +160,11 @@
                 context.close()
             }
         }
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event === ChannelInputShutdownEvent.INSTANCE) isEndedByPeer = true
+            context.fireUserEventTriggered(event)
+        }
     }
 
     private inner class ResponseReader : ChannelInboundHandlerAdapter() {
@@ -182,7 +197,14 @@
             } else {
                 content.release()
             }
-            if (content is LastHttpContent) offer(ResponsePart.End)
+            if (content is LastHttpContent) {
+                val isComplete = isResponseFramed || isEndedByPeer
+                offer(if (isComplete) ResponsePart.End else ResponsePart.Failed("connection failed within the body"))
+            }
+        }
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event === ChannelInputShutdownEvent.INSTANCE) context.close()
         }
 
         private fun offer(part: ResponsePart) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
@@ -46,6 +46,8 @@
     /** Opens a connection to [address]. Returns null if it is not established within [timeoutMilliseconds]. */
     suspend fun connect(address: InetSocketAddress, timeoutMilliseconds: Long): ClientConnection? {
         val future = bootstrap.clone()
+            // Reports the end of the input, so that a reset is told from it; the connection is closed on both.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMilliseconds.toInt().coerceAtLeast(1))
             .connect(address)
         var isEstablished = false
