Treat a stream that ends within an event as broken off

Callers saw (in the tests): a stream whose target had been cut off within an event ended as complete, with the partial event as its end, and a resumable stream did not go on at another target.

Cause: at the end of the target's response, the bytes of the partial event were forwarded and the caller's response was finished, whatever the bytes were.

Change: the attempt is incomplete if bytes follow the last event. A resumable stream goes on at another target; otherwise the caller's connection is closed without the final chunk, or the caller gets 502 if no event was forwarded. The same holds for a stream without framing that ends before its first event. A chunked stream that ends within an event is treated alike although its last chunk arrived: a reader of events discards the unfinished one, and a caller that takes the answer for complete cannot ask for the rest.

What remains: a stream without framing whose target ends the connection right after an event cannot be told from a complete one.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -241,7 +241,7 @@
                 null -> return AttemptResult.Incomplete("no event before the progress deadline")
                 is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
                 is ResponsePart.Head -> return AttemptResult.Incomplete("second response head within a response")
-                ResponsePart.End -> return finishEvents(response)
+                ResponsePart.End -> return finishEvents(connection, response)
                 is ResponsePart.Body -> forwardCompleteEvents(response, part.content)
             }
         }
@@ -270,10 +270,13 @@
     private fun startEvents(response: HttpResponse): Unit =
         progress.callerResponse.start(response.status().code(), protocol.callerHeaders(response.headers()))
 
-    private suspend fun finishEvents(response: HttpResponse): AttemptResult {
+    /** Completes the caller's response, unless the stream ended within an event or, without framing, before the first. */
+    private fun finishEvents(connection: ClientConnection, response: HttpResponse): AttemptResult {
+        if (splitter.remainder().isReadable) return AttemptResult.Incomplete("the stream ended within an event")
+        if (!isFirstEventRecorded && !connection.isResponseFramed) {
+            return AttemptResult.Incomplete("the stream ended before its first event")
+        }
         if (!progress.callerResponse.hasStarted) startEvents(response)
-        val remainder = splitter.remainder()
-        if (remainder.isReadable) progress.callerResponse.write(remainder.retainedDuplicate())
         progress.callerResponse.finish()
         return AttemptResult.Delivered(response.status().code())
     }
