--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -5,6 +5,8 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.nio.AbstractNioChannel
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpContent
@@ -43,7 +45,18 @@
     private val parts = Queue<ResponsePart>(Queue.UNLIMITED) { if (it is ResponsePart.Body) it.content.release() }
     private var bufferedBytes = 0
     private var isRequestWritten = true
-    private var isResponseFramed = true
+    private val decoder = channel.pipeline().get(ResponseDecoder::class.java)
+
+    /** Whether the current response states where it ends; others end with the connection. */
+    var isResponseFramed = true
+        private set
+
+    /** Whether the peer ended the connection, as opposed to a reset or to a close by this process. */
+    private var isEndedByPeer = false
+
+    /** Requests sent on the connection. */
+    var requestCount = 0
+        private set
 
     /** Whether a request is in progress on the connection. */
     var isBusy = false
@@ -65,13 +78,24 @@
     val isOpen: Boolean get() = channel.isActive
 
     init {
+        channel.pipeline().addFirst(RawReader())
         channel.pipeline().addLast(ResponseReader())
     }
 
+    /**
+     * Reads the bytes that have arrived on this idle connection, which belong to no request and close it. They would
+     * otherwise be taken for the response to the next request if the event loop had not yet read them.
+     */
+    fun readArrivedBytes() {
+        (channel.unsafe() as? AbstractNioChannel.NioUnsafe)?.takeIf { isOpen && !isBusy }?.read()
+    }
+
     /** Writes a request with the complete [body]. */
     fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) {
         isBusy = true
         isRequestWritten = false
+        requestCount++
+        decoder.requestMethod = method
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             method,
@@ -125,7 +149,8 @@
             keepAliveSeconds?.let {
                 idleSince.plusMilliseconds(it * MILLISECONDS_PER_SECOND - IDLE_MARGIN_MILLISECONDS)
             }
-        return isOpen && isRequestWritten && isResponseFramed && !isClosing && parts.isEmpty
+        return isOpen && isRequestWritten && isResponseFramed && !isClosing && parts.isEmpty &&
+            !decoder.hasFurtherBytes
     }
 
     /** Closes the connection and releases the parts that were not received. */
@@ -138,13 +163,28 @@
         channel.close()
     }
 
-    private inner class ResponseReader : ChannelInboundHandlerAdapter() {
+    /**
+     * Precedes the decoder. Closes the connection when bytes arrive on it while no request is in progress, and notes its
+     * end, which the decoder takes for the end of a response without length however the connection ended.
+     */
+    private inner class RawReader : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (!isBusy) {
+            if (isBusy) {
+                context.fireChannelRead(message)
+            } else {
                 ReferenceCountUtil.release(message)
                 context.close()
-                return
             }
+        }
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event === ChannelInputShutdownEvent.INSTANCE) isEndedByPeer = true
+            context.fireUserEventTriggered(event)
+        }
+    }
+
+    private inner class ResponseReader : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
             if (message is HttpResponse) receiveHead(message)
             if (message is HttpContent) receiveContent(message)
         }
@@ -173,7 +213,14 @@
             } else {
                 content.release()
             }
-            if (content is LastHttpContent) offer(ResponsePart.End)
+            if (content is LastHttpContent) {
+                val isComplete = isResponseFramed || isEndedByPeer
+                offer(if (isComplete) ResponsePart.End else ResponsePart.Failed("connection failed within the body"))
+            }
+        }
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            if (event === ChannelInputShutdownEvent.INSTANCE) context.close()
         }
 
         private fun offer(part: ResponsePart) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.serve
 
 import org.heatherwind.gateway.caller.CallerResponseWriter
+import org.heatherwind.gateway.http.ClientConnection
 
 /** How far a request got. */
 internal enum class RequestStage {
@@ -55,6 +56,9 @@
     /** The last complete error response of a target, or null. */
     var lastFailure: AttemptResult.Failed? = null
 
+    /** Connections on which the request was sent; a copy of an earlier response may still arrive on them. */
+    val connections: MutableSet<ClientConnection> = HashSet()
+
     /** Charges events to the customer, or null where nothing is charged. */
     var meter: TokenMeter? = null
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -62,7 +62,7 @@
     /** Connects to the target. Returns null if that succeeded, or the result. */
     suspend fun connect(): AttemptResult? = endingWithResult {
         val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
-        connection = client.connect(target, isRepeatable)
+        connection = client.connect(target, isRepeatable, excluded = progress.connections)
         if (connection != null) return@endingWithResult null
         target.recordConnectionFailure(clock.now())
         client.closeIdle(target)
@@ -125,6 +125,7 @@
         )
         val headers = protocol.targetHeaders(request.head.headers(), instruction)
         progress.mayHaveRun = true
+        progress.connections += connection
         connection.send(request.head.method(), request.head.uri(), headers, request.body)
         extendProgress(hasStarted = false)
     }
@@ -212,7 +213,8 @@
             connection.isClosing = true
             return when {
                 head.requestId != null -> null
-                head.isNotRun -> notRun(head)
+                // A copy of an earlier refusal may arrive on a connection that carried other requests.
+                head.isNotRun && connection.requestCount == 1 -> notRun(head)
                 else -> AttemptResult.Incomplete("a response without a request ID")
             }
         }
@@ -316,7 +318,7 @@
                 null -> return AttemptResult.Incomplete("no event before the progress deadline")
                 is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
                 is ResponsePart.Head -> return AttemptResult.Incomplete("second response head within a response")
-                ResponsePart.End -> return finishEvents(response)
+                ResponsePart.End -> return finishEvents(connection, response)
                 is ResponsePart.Body -> forwardCompleteEvents(response, part.content)
             }
         }
@@ -345,10 +347,13 @@
     private fun startEvents(response: HttpResponse): Unit =
         progress.callerResponse.start(response.status().code(), protocol.callerHeaders(response.headers()))
 
-    private suspend fun finishEvents(response: HttpResponse): AttemptResult {
+    /** Completes the caller's response, unless the stream ended within an event or, without framing, before the first. */
+    private fun finishEvents(connection: ClientConnection, response: HttpResponse): AttemptResult {
+        if (splitter.remainder().isReadable) return AttemptResult.Incomplete("the stream ended within an event")
+        if (!isFirstEventRecorded && !connection.isResponseFramed) {
+            return AttemptResult.Incomplete("the stream ended before its first event")
+        }
         if (!progress.callerResponse.hasStarted) startEvents(response)
-        val remainder = splitter.remainder()
-        if (remainder.isReadable) progress.callerResponse.write(remainder.retainedDuplicate())
         progress.callerResponse.finish()
         return AttemptResult.Delivered(response.status().code())
     }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
@@ -3,8 +3,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequestEncoder
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
@@ -30,7 +31,7 @@
         DynamicTest.dynamicTest(case.name) {
             runTest {
                 val clock = MonotonicClock { MonotonicTime(testScheduler.currentTime) }
-                val channel = EmbeddedChannel(HttpClientCodec())
+                val channel = EmbeddedChannel(ResponseDecoder(HttpDecoderConfig()), HttpRequestEncoder())
                 val connection = ClientConnection(channel, clock)
                 val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
                 connection.send(HttpMethod.GET, "/", headers, ByteArray(0))
