Answer the requests that a planned stop cannot serve to their end

Cause: a request that came late in a stop, on a connection kept by a response that had started before it, was served although the process would exit before it could end; at the exit it and all other requests in progress were cut without an answer. With a short time for the stop the last 0.9 s were reserved, more than a sixth of it. Change: once the listener is closed, a request whose deadline lies beyond the stop gets 503 (3008) with a Retry-After at once. What is still in progress at the end gets 502 (4011) if it was sent to a target and 503 (3008) if not; answers that have started are broken off as before. At most a sixth of the stop is reserved for its end.

--- a/core/src/main/kotlin/org/heatherwind/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/result/ResultCode.kt
@@ -97,6 +97,7 @@
         Execution.UNKNOWN,
         "The router failed after it sent the request to a target; the outcome is unknown.",
     ),
+    ROUTER_STOPPED(4011, 502, Execution.UNKNOWN, "The router stopped while a target worked on the request."),
     CONFIGURATION_BASE_OUTDATED(5000, 409, Execution.NOT_RUN, "Another change was accepted first."),
     CONFIGURATION_INVALID(5001, 400, Execution.NOT_RUN, "The configuration breaks one or more rules."),
     ;
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -17,6 +17,7 @@
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.identity.WallClock
 import org.heatherwind.core.retry.RetryThrottleLimits
@@ -155,6 +156,7 @@
                     log = log,
                     metrics = metrics,
                     liveRouterCount = { peerReports.liveCount() },
+                    stopDeadline = { stopDeadline },
                 ),
             ),
         ),
@@ -169,6 +171,9 @@
     @Volatile
     private var isDraining = false
 
+    /** When the requests in progress are ended in a planned stop, or null while new ones are taken. */
+    private var stopDeadline: MonotonicTime? = null
+
     /** Connections that callers opened since the start. */
     public val acceptedConnections: Long get() = listener.acceptedCount
 
@@ -218,13 +223,16 @@
             if (isDraining) return@launch
             isDraining = true
             log.process("Draining.", "open" to listener.busyCount)
-            val deadline = clock.now().plusMilliseconds(settings.drainMilliseconds - DRAIN_RESERVE_MILLISECONDS)
+            val reserve = minOf(DRAIN_RESERVE_MILLISECONDS, settings.drainMilliseconds / DRAIN_RESERVE_DIVISOR)
+            val deadline = clock.now().plusMilliseconds(settings.drainMilliseconds - reserve)
             delay(minOf(LOAD_BALANCER_REMOVAL_MILLISECONDS, settings.drainMilliseconds / 2))
             listener.stopListening()
+            stopDeadline = deadline
             while (listener.neededCount(clock.now()) > 0 && clock.now() < deadline) {
                 listener.closeIdle(clock.now())
                 delay(DRAIN_POLL_INTERVAL_MILLISECONDS)
             }
+            endRequests()
             listener.closeIdle(clock.now())
             withTimeoutOrNull(FINAL_WRITES_TIMEOUT_MILLISECONDS) {
                 budgets.returnAll()
@@ -235,6 +243,16 @@
         }
     }
 
+    /** Ends the requests in progress and waits until their answers are sent. */
+    private suspend fun endRequests() {
+        if (listener.busyCount == 0) return
+        log.process("Ending requests in progress.", "open" to listener.busyCount)
+        listener.endRequests()
+        withTimeoutOrNull(FINAL_ANSWERS_TIMEOUT_MILLISECONDS) {
+            while (listener.busyCount > 0) delay(FINAL_ANSWERS_POLL_INTERVAL_MILLISECONDS)
+        }
+    }
+
     /** Waits until a drain has ended. */
     public suspend fun awaitStopped(): Unit = stopped.await()
 
@@ -309,6 +327,11 @@
 
         /** Reserved at the end of the drain for the final writes and the exit of the process. */
         const val DRAIN_RESERVE_MILLISECONDS = 900L
+
+        /** Larger parts of a short drain would end requests that still have time. */
+        const val DRAIN_RESERVE_DIVISOR = 6L
+        const val FINAL_ANSWERS_TIMEOUT_MILLISECONDS = 150L
+        const val FINAL_ANSWERS_POLL_INTERVAL_MILLISECONDS = 10L
         const val FINAL_WRITES_TIMEOUT_MILLISECONDS = 500L
 
         /** Fraction of the fleet's retry limit in use; the rest allows for differing counts of live routers. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -62,6 +62,11 @@
     fun isClosable(now: MonotonicTime): Boolean =
         isIdle && now.millisecondsSince(idleSince) >= FIRST_REQUEST_MILLISECONDS
 
+    /** Ends the request that is being served, so that it is answered before the router exits. */
+    fun endRequest() {
+        activeJob?.cancel(RouterStoppingException())
+    }
+
     override fun channelActive(context: ChannelHandlerContext) {
         scheduleIdleTimeout(context)
         context.fireChannelActive()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
@@ -58,6 +58,11 @@
         connections.filterValues { it.isClosable(now) }.keys.toList().forEach { it.close() }
     }
 
+    /** Ends the requests that are being served. */
+    fun endRequests() {
+        connections.values.toList().forEach { it.endRequest() }
+    }
+
     private fun initialize(channel: Channel) {
         val connection = CallerConnection(shared)
         connections[channel] = connection
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Admission.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Admission.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import org.heatherwind.core.fleet.RouteTable
 import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.work.WorkRequest
 import org.heatherwind.gateway.caller.ReceivedRequest
@@ -14,8 +15,16 @@
 import org.heatherwind.gateway.protocol.CallerRequestHead
 import org.heatherwind.gateway.state.FleetState
 
-/** Determines a request's route, customer and deadline, or the error with which it is rejected. */
-internal class Admission(private val state: FleetState, private val clock: MonotonicClock) {
+/**
+ * Determines a request's route, customer and deadline, or the error with which it is rejected.
+ *
+ * @param stopDeadline returns when the requests in progress are ended, or null while the router takes new ones
+ */
+internal class Admission(
+    private val state: FleetState,
+    private val clock: MonotonicClock,
+    private val stopDeadline: () -> MonotonicTime?,
+) {
     fun admit(received: ReceivedRequest, head: CallerRequestHead): Either<RouterError, WorkRequest> = either {
         received.rejection?.let { raise(errorOf(it)) }
         val table = ensureNotNull(state.routes.takeIf { state.isReady }) {
@@ -28,13 +37,17 @@
         ensure(route.isPublic || !hasCustomers(table) || head.apiKey != null) { RouterError(ResultCode.KEY_MISSING) }
         ensure(route.isPublic || !hasCustomers(table) || customer != null) { unknownError(ResultCode.KEY_NOT_ACCEPTED) }
         val timeout = minOf(head.timeoutMilliseconds ?: route.timeoutMilliseconds, route.timeoutMilliseconds)
+        val deadline = received.receivedAt.plusMilliseconds(timeout)
+        ensure(stopDeadline().let { it == null || deadline <= it }) {
+            RouterError(ResultCode.ROUTER_DRAINING, DRAINING_RETRY_AFTER_MILLISECONDS)
+        }
         WorkRequest(
             id = id,
             route = route,
             customer = customer,
             tokens = head.tokens,
             receivedAt = received.receivedAt,
-            deadline = received.receivedAt.plusMilliseconds(timeout),
+            deadline = deadline,
         )
     }
 
@@ -69,6 +82,9 @@
 
         /** Start-up and a new read of the plan take about this long. */
         const val NOT_READY_RETRY_AFTER_MILLISECONDS = 500L
+
+        /** Other routers take the request at once. */
+        const val DRAINING_RETRY_AFTER_MILLISECONDS = 50L
         const val MEMORY_RETRY_AFTER_MILLISECONDS = 200L
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -5,12 +5,14 @@
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
 import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.work.WorkRequest
 import org.heatherwind.gateway.caller.CallerResponseWriter
 import org.heatherwind.gateway.caller.ReceivedRequest
 import org.heatherwind.gateway.caller.RequestHandler
+import org.heatherwind.gateway.caller.RouterStoppingException
 import org.heatherwind.gateway.peer.PlacementAnnouncements
 import org.heatherwind.gateway.protocol.CallerProtocol
 import org.heatherwind.gateway.state.BudgetDecision
@@ -24,6 +26,7 @@
  * The dependencies of serving a request.
  *
  * @property liveRouterCount returns the number of live routers
+ * @property stopDeadline returns when the requests in progress are ended, or null while the router takes new ones
  */
 internal class ServeContext(
     val state: FleetState,
@@ -36,12 +39,13 @@
     val log: DecisionLog,
     val metrics: GatewayMetrics,
     val liveRouterCount: () -> Int,
+    val stopDeadline: () -> MonotonicTime? = { null },
     val responseTimeouts: ResponseTimeoutPolicy = ResponseTimeoutPolicy(),
 )
 
 /** Serves callers' requests: admission, token reservation, attempts on targets, and the final response. */
 internal class RequestServer(private val context: ServeContext) : RequestHandler {
-    private val admission = Admission(context.state, context.clock)
+    private val admission = Admission(context.state, context.clock, context.stopDeadline)
     private val errorWriter = RouterErrorWriter(context.protocol)
 
     override suspend fun serve(request: ReceivedRequest, response: CallerResponseWriter) {
@@ -93,6 +97,8 @@
             error = withTimeout(remainingMilliseconds) { serveWithReservation(work, request, progress) }
         } catch (_: TimeoutCancellationException) {
             error = errorAtDeadline(progress)
+        } catch (_: RouterStoppingException) {
+            error = errorAtStop(progress)
         } catch (disconnect: CancellationException) {
             recordAdmittedEnd(work, ResultCode.CALLER_LEFT, progress, planVersion)
             throw disconnect
@@ -107,6 +113,12 @@
         else -> RouterError(ResultCode.DEADLINE_BEFORE_START)
     }
 
+    private fun errorAtStop(progress: DeliveryProgress): RouterError? = when {
+        progress.callerResponse.isFinished || progress.deliverFailure() -> null
+        progress.mayHaveRun -> RouterError(ResultCode.ROUTER_STOPPED)
+        else -> RouterError(ResultCode.ROUTER_DRAINING, STOP_RETRY_AFTER_MILLISECONDS)
+    }
+
     /** Sends [error] to the caller, or records that the request ends without a whole answer if one has started. */
     private fun writeError(progress: DeliveryProgress, error: RouterError) {
         if (progress.callerResponse.hasStarted) {
@@ -239,5 +251,8 @@
 
         /** The same failure may hit the request here again; a caller that returns reaches another router. */
         const val FAILURE_RETRY_AFTER_MILLISECONDS = 100L
+
+        /** Other routers take the request at once. */
+        const val STOP_RETRY_AFTER_MILLISECONDS = 50L
     }
 }
