Let an idle connection follow a raised idle limit

Cause: the timer of an idle connection used the limit that was in force when it was scheduled, so that a connection was closed while its caller, which knows the raised limit, could still send on it. Change: the limit in force counts when the timer fires. A lowered limit is still not applied to connections that are idle already, as their callers may not know it. Measured: the case of a raised limit in CallerConnectionTest failed before and passes now.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -172,15 +172,22 @@
 
     private fun scheduleIdleTimeout(context: ChannelHandlerContext) {
         pendingTimeout?.cancel(false)
+        val idleDeadline = idleSince.plusMilliseconds(shared.limits().idleTimeoutMilliseconds)
         pendingTimeout = context.executor().schedule(
             { closeIfIdle(context) },
-            shared.limits().idleTimeoutMilliseconds,
+            idleDeadline.millisecondsSince(shared.clock.now()).coerceAtLeast(MINIMUM_IDLE_CHECK_MILLISECONDS),
             TimeUnit.MILLISECONDS,
         )
     }
 
+    /** Closes an idle connection; the limit may have been raised since the check was scheduled. */
     private fun closeIfIdle(context: ChannelHandlerContext) {
-        if (isIdle) context.close() else if (hasNoRequest) scheduleIdleTimeout(context)
+        val idleMilliseconds = shared.clock.now().millisecondsSince(idleSince)
+        if (isIdle && idleMilliseconds >= shared.limits().idleTimeoutMilliseconds) {
+            context.close()
+        } else if (hasNoRequest) {
+            scheduleIdleTimeout(context)
+        }
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -207,6 +214,9 @@
         /** A caller that opens a connection sends its request within this time. */
         const val FIRST_REQUEST_MILLISECONDS = 250L
 
+        /** Lower bound of the time between two checks of a connection whose response is not sent yet. */
+        const val MINIMUM_IDLE_CHECK_MILLISECONDS = 50L
+
         /** Number of queued pipelined requests at which reading stops. */
         const val MAXIMUM_QUEUED_REQUESTS = 8
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -19,6 +19,7 @@
 import org.heatherwind.core.identity.MonotonicTime
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -113,6 +114,39 @@
             }
         }
 
+    private class IdleCase(val name: String, val limitAtStart: Long, val limitLater: Long, val isOpen: Boolean)
+
+    // Guards against connections that are closed by the idle limit of an older plan while callers may still use them.
+    @TestFactory
+    fun `given an idle connection when the idle limit changes then the new limit counts`(): List<DynamicTest> = listOf(
+        IdleCase("the same limit", limitAtStart = 200, limitLater = 200, isOpen = false),
+        IdleCase("a raised limit", limitAtStart = 200, limitLater = 5_000, isOpen = true),
+        IdleCase("a lowered limit, which callers may not know yet", limitAtStart = 5_000, limitLater = 200, isOpen = true),
+    ).map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            var now = MonotonicTime(0)
+            var limits = CallerLimits(idleTimeoutMilliseconds = case.limitAtStart)
+            val shared = CallerContext(
+                scope = CoroutineScope(Dispatchers.Unconfined),
+                clock = { now },
+                limits = { limits },
+                isDraining = { false },
+                bodyMemory = BodyMemory(1_000_000),
+                handler = { _, _ -> awaitCancellation() },
+            )
+            val channel = EmbeddedChannel()
+            channel.freezeTime()
+            channel.pipeline().addLast(CallerConnection(shared))
+            channel.pipeline().fireChannelActive()
+            limits = CallerLimits(idleTimeoutMilliseconds = case.limitLater)
+            now = now.plusMilliseconds(IDLE_MILLISECONDS)
+            channel.advanceTimeBy(IDLE_MILLISECONDS, TimeUnit.MILLISECONDS)
+            channel.runScheduledPendingTasks()
+            assertEquals(case.isOpen, channel.isOpen)
+            channel.close()
+        }
+    }
+
     private fun context(clock: MonotonicClock, serve: suspend (CallerResponseWriter) -> Unit) = CallerContext(
         scope = CoroutineScope(Dispatchers.Unconfined),
         clock = clock,
@@ -126,6 +160,7 @@
         respond(200, DefaultHttpHeadersFactory.headersFactory().newHeaders(), body.encodeToByteArray())
 
     private companion object {
+        const val IDLE_MILLISECONDS = 300L
         const val REQUEST_HEAD = "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\n"
     }
 }
