Let kept connections follow a raised limit on headers

Cause: the limit on headers was fixed in the decoder when a connection was accepted, so that a kept connection rejected proper requests with 431 after the limit had been raised, and allowed too large ones after it had been lowered. Change: the decoder allows 64 KiB, and each head is checked against the limit in force.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -83,7 +83,7 @@
 
     private fun beginRequest(context: ChannelHandlerContext, head: HttpRequest) {
         val now = shared.clock.now()
-        val rejection = RequestValidator.validate(head)
+        val rejection = RequestValidator.validate(head, shared.limits().maximumHeaderBytes)
             ?: RequestRejection.BODY_TOO_LARGE.takeIf {
                 HttpUtil.getContentLength(head, 0L) > shared.limits().maximumBodyBytes
             }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
@@ -68,8 +68,8 @@
         connections[channel] = connection
         acceptedCount++
         channel.closeFuture().addListener { connections.remove(channel) }
-        val config = HttpDecoderConfig().setMaxHeaderSize(shared.limits().maximumHeaderBytes)
-            .setMaxInitialLineLength(shared.limits().maximumHeaderBytes)
+        val decodableBytes = maxOf(MAXIMUM_DECODABLE_HEADER_BYTES, shared.limits().maximumHeaderBytes)
+        val config = HttpDecoderConfig().setMaxHeaderSize(decodableBytes).setMaxInitialLineLength(decodableBytes)
         channel.pipeline().addLast(StrictRequestDecoder(config), HttpResponseEncoder(), connection)
     }
 
@@ -81,6 +81,9 @@
         /** Limits how long one connection is read while others wait. */
         const val READS_PER_TURN = 16
 
+        /** The decoder's limit is fixed for a connection, while the limit of the plan may change. */
+        const val MAXIMUM_DECODABLE_HEADER_BYTES = 65_536
+
         /** Connections that may wait to be accepted while the event loop is busy. */
         const val ACCEPT_BACKLOG = 512
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/RequestValidator.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/RequestValidator.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.TooLongHttpHeaderException
@@ -9,8 +10,8 @@
 
 /** Rejects malformed heads and ambiguous message lengths, which would allow request smuggling. */
 internal object RequestValidator {
-    /** Returns why [head] is rejected, or null if it is valid. */
-    fun validate(head: HttpRequest): RequestRejection? {
+    /** Returns why [head] is rejected, or null if it is valid; the path and the headers may each have [maximumBytes]. */
+    fun validate(head: HttpRequest, maximumBytes: Int): RequestRejection? {
         val failure = head.decoderResult().cause()
         if (failure != null) return rejectionOf(failure)
         val headers = head.headers()
@@ -34,15 +35,30 @@
 
             !head.uri().startsWith("/") -> RequestRejection.MALFORMED
 
+            head.uri().length > maximumBytes || sizeOf(headers) > maximumBytes -> RequestRejection.HEADERS_TOO_LARGE
+
             else -> null
         }
     }
 
+    private fun sizeOf(headers: HttpHeaders): Int {
+        var size = 0
+        val fields = headers.iteratorCharSequence()
+        while (fields.hasNext()) {
+            val field = fields.next()
+            size += field.key.length + SEPARATOR_BYTES + field.value.length
+        }
+        return size
+    }
+
     private fun rejectionOf(failure: Throwable): RequestRejection = when (failure) {
         is TooLongHttpHeaderException, is TooLongHttpLineException -> RequestRejection.HEADERS_TOO_LARGE
         is AmbiguousLengthException -> RequestRejection.AMBIGUOUS_LENGTH
         else -> RequestRejection.MALFORMED
     }
+
+    /** A colon and a space. */
+    private const val SEPARATOR_BYTES = 2
 }
 
 /** Thrown for a head with both a Content-Length and a Transfer-Encoding. */
