--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -148,8 +148,8 @@
     }
 
     /**
-     * Precedes the decoder. Closes the connection when bytes arrive on it while no request is in progress, and notes its
-     * end, which the decoder takes for the end of a response without length however the connection ended.
+     * Precedes the decoder. Closes the connection when bytes arrive on it while no request is in progress, and notes
+     * its end, since the decoder ends a response without length however the connection ended.
      */
     private inner class RawReader : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -136,8 +136,10 @@
             connection.isClosing = true
             return when {
                 head.requestId != null -> null
+
                 // A copy of an earlier refusal may arrive on a connection that carried other requests.
                 head.isNotRun && connection.requestCount == 1 -> notRun(head)
+
                 else -> AttemptResult.Incomplete("a response without a request ID")
             }
         }
@@ -270,7 +272,7 @@
     private fun startEvents(response: HttpResponse): Unit =
         progress.callerResponse.start(response.status().code(), protocol.callerHeaders(response.headers()))
 
-    /** Completes the caller's response, unless the stream ended within an event or, without framing, before the first. */
+    /** Completes the caller's response, unless the stream ended within an event or, if unframed, before the first. */
     private fun finishEvents(connection: ClientConnection, response: HttpResponse): AttemptResult {
         if (splitter.remainder().isReadable) return AttemptResult.Incomplete("the stream ended within an event")
         if (!isFirstEventRecorded && !connection.isResponseFramed) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
@@ -16,8 +16,8 @@
 
     /**
      * Returns a connection to [target], or null if none could be established. A request that may run at most once uses
-     * a new or recently used connection, since the failure of a stale one would leave its outcome unknown. Connections in
-     * [excluded] are not reused.
+     * a new or recently used connection, since the failure of a stale one would leave its outcome unknown. Connections
+     * in [excluded] are not reused.
      */
     suspend fun connect(
         target: TargetLoad,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
@@ -107,7 +107,7 @@
         }
     }
 
-    /** Passes [records] to the subscriber. If it fails, passes them one by one and leaves out those on which it fails. */
+    /** Passes [records] to the subscriber. If it fails, passes them one by one, without those that it fails on. */
     private fun deliver(records: List<KeyedRecord>, isSnapshot: Boolean) {
         val deliverAll = { all: List<KeyedRecord> ->
             if (isSnapshot) subscriber.onSnapshot(all) else subscriber.onRecords(all)
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
@@ -137,10 +137,8 @@
             }
         }
 
-    private class Recorder(
-        private val received: MutableMap<String, String>,
-        private val failingKey: String? = null,
-    ) : StreamSubscriber {
+    private class Recorder(private val received: MutableMap<String, String>, private val failingKey: String? = null) :
+        StreamSubscriber {
         override fun onSnapshot(records: List<KeyedRecord>) = onRecords(records)
 
         override fun onRecords(records: List<KeyedRecord>) {
