Answer a request that a planned stop ends before it is served

Cause: the stop cancels the job of each request in progress. A job that was queued on the event loop but had not begun when it was cancelled never ran its body, so a whole request got no answer, and its connection was not closed either. Change: the job begins in any case, and the cancellation reaches it at its first suspension, where it is answered. Measured: the new case of CallerConnectionTest (a request that is read, then ended before its first turn) had no answer before and has one now.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.util.concurrent.ScheduledFuture
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.DelicateCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import org.heatherwind.core.fleet.CallerLimits
@@ -132,6 +133,7 @@
         serveNext(context)
     }
 
+    @OptIn(DelicateCoroutinesApi::class)
     private fun serveNext(context: ChannelHandlerContext) {
         if (activeJob != null || !context.channel().isActive) return
         val request = queued.removeFirstOrNull() ?: return scheduleIdleTimeout(context)
@@ -140,7 +142,8 @@
             queued.isNotEmpty() || (!isRejected && !shared.isDraining())
         }
         lastResponse = response
-        val job = shared.scope.launch(start = CoroutineStart.LAZY) {
+        // A request that is ended before this starts is answered, too.
+        val job = shared.scope.launch(start = CoroutineStart.ATOMIC) {
             try {
                 // A caller that left while the router had no processor time is not served.
                 if (context.channel().isActive) shared.handler.serve(request, response)
@@ -158,7 +161,6 @@
                 serveNext(context)
             }
         }
-        job.start()
     }
 
     private fun scheduleReadTimeout(context: ChannelHandlerContext) {
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -13,12 +13,14 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.awaitCancellation
 import org.heatherwind.core.fleet.CallerLimits
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import java.util.concurrent.Executor
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -113,11 +115,37 @@
             }
         }
 
-    private fun context(clock: MonotonicClock, serve: suspend (CallerResponseWriter) -> Unit) = CallerContext(
-        scope = CoroutineScope(Dispatchers.Unconfined),
+    // Guards against a whole request without an answer that the router ends before it has begun to serve it.
+    @Test
+    fun `given a request that was read when the stop ends before it is served then it is answered`() {
+        val tasks = ArrayDeque<Runnable>()
+        val scope = CoroutineScope(Executor { tasks.addLast(it) }.asCoroutineDispatcher())
+        val shared = context({ MonotonicTime(0) }, scope) { response ->
+            try {
+                awaitCancellation()
+            } catch (_: RouterStoppingException) {
+                response.respond("stopped")
+            }
+        }
+        val connection = CallerConnection(shared)
+        val channel = EmbeddedChannel(StrictRequestDecoder(HttpDecoderConfig()), HttpResponseEncoder(), connection)
+        channel.writeInbound(Unpooled.copiedBuffer(REQUEST_HEAD + "frit", Charsets.UTF_8))
+        connection.endRequest()
+        while (tasks.isNotEmpty()) tasks.removeFirst().run()
+        channel.runPendingTasks()
+        assertEquals("HTTP/1.1 200 OK", channel.readOutbound<ByteBuf>()?.toString(Charsets.UTF_8)?.lines()?.first())
+    }
+
+    private fun context(
+        clock: MonotonicClock,
+        scope: CoroutineScope = CoroutineScope(Dispatchers.Unconfined),
+        isDraining: Boolean = true,
+        serve: suspend (CallerResponseWriter) -> Unit,
+    ) = CallerContext(
+        scope = scope,
         clock = clock,
         limits = { CallerLimits() },
-        isDraining = { true },
+        isDraining = { isDraining },
         bodyMemory = BodyMemory(1_000_000),
         handler = { _, response -> serve(response) },
     )
