Take an informational response and one to HEAD for complete without a length

Cause: since responses without a length count as complete only at their peer's end, the same held for 1xx responses and for responses to HEAD, which have no body. A target's early hints made the attempt incomplete: 502 for a request that may not be repeated, and a repeat for the others. Change: both count as framed. Measured: both cases of the new test in ClientConnectionTest failed before (the part after the head was a failure) and pass now; ResponseEndTest and ConnectionPoolTest pass.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
@@ -193,7 +194,9 @@
             if (response.decoderResult().isFailure) return fail("malformed response head")
             isResponseFramed = HttpUtil.isTransferEncodingChunked(response) ||
                 response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) ||
-                response.status().code() in BODILESS_STATUSES
+                response.status().codeClass() == HttpStatusClass.INFORMATIONAL ||
+                response.status().code() in BODILESS_STATUSES ||
+                decoder.requestMethod == HttpMethod.HEAD
             if (!HttpUtil.isKeepAlive(response)) isClosing = true
             keepAliveSeconds = response.headers()[KEEP_ALIVE]?.substringAfter("timeout=", "")
                 ?.takeWhile { it.isDigit() }?.toLongOrNull()
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertIs
+import kotlin.test.assertTrue
 
 /** Given a response, when its parts arrive before, at or after the receiver's deadline, then none is lost. */
 class ClientConnectionTest {
@@ -48,7 +49,34 @@
         }
     }
 
+    private class WholeCase(val name: String, val method: HttpMethod, val responses: String, val heads: Int)
+
+    private val wholeCases = listOf(
+        WholeCase("an informational response before the final one", HttpMethod.GET, EARLY_HINTS + RESPONSE, heads = 2),
+        WholeCase("a response to HEAD without length", HttpMethod.HEAD, "HTTP/1.1 200 OK\r\n\r\n", heads = 1),
+    )
+
+    // Guards against requests that fail because a response that has no body also has no length.
+    @TestFactory
+    fun `a response that has no body is complete without a length`(): List<DynamicTest> = wholeCases.map { case ->
+        DynamicTest.dynamicTest(case.name) {
+            runTest {
+                val channel = EmbeddedChannel(ResponseDecoder(HttpDecoderConfig()), HttpRequestEncoder())
+                val connection = ClientConnection(channel) { MonotonicTime(0) }
+                val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+                connection.send(case.method, "/", headers, ByteArray(0))
+                channel.writeInbound(Unpooled.copiedBuffer(case.responses, Charsets.UTF_8))
+                repeat(case.heads) {
+                    assertIs<ResponsePart.Head>(connection.receive())
+                    assertIs<ResponsePart.End>(connection.receive())
+                }
+                assertTrue(connection.finish())
+            }
+        }
+    }
+
     private companion object {
+        const val EARLY_HINTS = "HTTP/1.1 103 Early Hints\r\n\r\n"
         const val DEADLINE = 100L
         const val RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
     }
