Keep the read timeout of a request behind another one

Cause: the end of a request cancelled the timer of its connection and set the idle timeout, although that timer was the read timeout of the next request, which was being received. The idle timeout does not close such a connection, so a request whose body did not arrive had no answer, kept its memory, and kept a planned stop waiting up to its end. Change: the timer is left alone while a request is being received. Measured: the new case of CallerConnectionTest (an hour after a partial request) failed before and passes now.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -136,8 +136,12 @@
     @OptIn(DelicateCoroutinesApi::class)
     private fun serveNext(context: ChannelHandlerContext) {
         if (activeJob != null || !context.channel().isActive) return
-        val request = queued.removeFirstOrNull() ?: return scheduleIdleTimeout(context)
-        pendingTimeout?.cancel(false)
+        val request = queued.removeFirstOrNull()
+        // The timeout of a request that is being received stays in force.
+        if (partialRequest == null) {
+            if (request == null) scheduleIdleTimeout(context) else pendingTimeout?.cancel(false)
+        }
+        if (request == null) return
         val response = CallerResponseWriter(context.channel(), request.head, shared.clock) {
             queued.isNotEmpty() || (!isRejected && !shared.isDraining())
         }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import java.util.concurrent.Executor
+import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -136,6 +137,29 @@
         assertEquals("HTTP/1.1 200 OK", channel.readOutbound<ByteBuf>()?.toString(Charsets.UTF_8)?.lines()?.first())
     }
 
+    // Guards against a partial request that keeps its connection and memory, without an answer, once the one before it has ended.
+    @Test
+    fun `given a partial request behind another one when its body does not arrive then it is answered`() {
+        val release = CompletableDeferred<Unit>()
+        val shared = context({ MonotonicTime(0) }, isDraining = false) { response ->
+            release.await()
+            response.respond("whole")
+        }
+        val channel = EmbeddedChannel(
+            StrictRequestDecoder(HttpDecoderConfig()),
+            HttpResponseEncoder(),
+            CallerConnection(shared),
+        )
+        channel.freezeTime()
+        channel.writeInbound(Unpooled.copiedBuffer(REQUEST_HEAD + "frit" + REQUEST_HEAD, Charsets.UTF_8))
+        release.complete(Unit)
+        channel.runPendingTasks()
+        channel.advanceTimeBy(1, TimeUnit.HOURS)
+        channel.runScheduledPendingTasks()
+        channel.runPendingTasks()
+        assertFalse(channel.isOpen)
+    }
+
     private fun context(
         clock: MonotonicClock,
         scope: CoroutineScope = CoroutineScope(Dispatchers.Unconfined),
