Do not use a connection that ended just after it was established

Cause: a connection that is reset before the event loop resumes the caller of connect has an empty pipeline. Its first request failed with a NullPointerException: 502 for a request that was never sent, and, in the client of the store, the end of the task that publishes reports. Change: such a connection is not returned by the pool, so that the attempt counts as not sent. A request on it fails as on any closed connection. Measured: the new case of ClientConnectionTest ended with the exception before and passes now. The reset itself was not provoked between two processes; it needs a busy event loop.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -46,7 +46,9 @@
     private val parts = Queue<ResponsePart>(Queue.UNLIMITED) { if (it is ResponsePart.Body) it.content.release() }
     private var bufferedBytes = 0
     private var isRequestWritten = true
-    private val decoder = channel.pipeline().get(ResponseDecoder::class.java)
+
+    /** Null if the connection had ended before this was created. */
+    private val decoder: ResponseDecoder? = channel.pipeline().get(ResponseDecoder::class.java)
 
     /** Whether the current response states where it ends; others end with the connection. */
     var isResponseFramed = true
@@ -81,6 +83,7 @@
     init {
         channel.pipeline().addFirst(RawReader())
         channel.pipeline().addLast(ResponseReader())
+        if (!channel.isActive) parts.close()
     }
 
     /**
@@ -96,7 +99,7 @@
         isBusy = true
         isRequestWritten = false
         requestCount++
-        decoder.requestMethod = method
+        decoder?.requestMethod = method
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             method,
@@ -151,7 +154,7 @@
                 idleSince.plusMilliseconds(it * MILLISECONDS_PER_SECOND - IDLE_MARGIN_MILLISECONDS)
             }
         return isOpen && isRequestWritten && isResponseFramed && !isClosing && parts.isEmpty &&
-            !decoder.hasFurtherBytes
+            decoder?.hasFurtherBytes == false
     }
 
     /** Closes the connection and releases the parts that were not received. */
@@ -196,7 +199,7 @@
                 response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) ||
                 response.status().codeClass() == HttpStatusClass.INFORMATIONAL ||
                 response.status().code() in BODILESS_STATUSES ||
-                decoder.requestMethod == HttpMethod.HEAD
+                decoder?.requestMethod == HttpMethod.HEAD
             if (!HttpUtil.isKeepAlive(response)) isClosing = true
             keepAliveSeconds = response.headers()[KEEP_ALIVE]?.substringAfter("timeout=", "")
                 ?.takeWhile { it.isDigit() }?.toLongOrNull()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
@@ -58,7 +58,7 @@
         }
         if (!isEstablished) return null
         openedCount++
-        return ClientConnection(future.channel(), clock)
+        return ClientConnection(future.channel(), clock).takeIf { it.isOpen }
     }
 
     /** Returns [connection] to the pool, after [ClientConnection.finish] returned true. */
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
@@ -13,6 +13,7 @@
 import org.heatherwind.core.identity.MonotonicTime
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import kotlin.test.Test
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 
@@ -75,6 +76,19 @@
         }
     }
 
+    // Guards against a request that waits up to its deadline on a connection that was reset just after its start.
+    @Test
+    fun `given a connection that was reset before its first request when one is sent then it fails at once`() {
+        runTest {
+            val channel = EmbeddedChannel(ResponseDecoder(HttpDecoderConfig()), HttpRequestEncoder())
+            channel.close()
+            val connection = ClientConnection(channel) { MonotonicTime(0) }
+            val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+            connection.send(HttpMethod.GET, "/", headers, ByteArray(0))
+            assertIs<ResponsePart.Failed>(connection.receive(MonotonicTime(DEADLINE)))
+        }
+    }
+
     private companion object {
         const val EARLY_HINTS = "HTTP/1.1 103 Early Hints\r\n\r\n"
         const val DEADLINE = 100L
