Count the targets that may have run a request one by one

Cause: whether a request may have run was one flag, which an attempt that was refused set back to its value before that attempt. Since two targets can have a request at the same time, a refusal by the first one, after the second had taken the request and broken off, cleared the flag: the caller got 503 (4001), which promises that the request was not run, and the prompt was not charged to the customer. Change: each attempt that is sent counts as one possible run, and its refusal takes back only that one. Only requests that may be repeated were concerned.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
@@ -50,8 +50,11 @@
     var eventCount = 0L
         private set
 
+    /** Attempts that were sent and not refused by their target. */
+    private var possibleRuns = 0
+
     /** Whether a target may have started to run the request. */
-    var mayHaveRun = false
+    val mayHaveRun: Boolean get() = possibleRuns > 0
 
     /** The last complete error response of a target, or null. */
     var lastFailure: AttemptResult.Failed? = null
@@ -70,6 +73,16 @@
         return true
     }
 
+    /** Records that the request is sent to a target, which may run it. */
+    fun recordSent() {
+        possibleRuns++
+    }
+
+    /** Records that a target to which the request was sent has refused it and did not run it. */
+    fun recordNotRun() {
+        possibleRuns--
+    }
+
     /** Records and charges an event that is forwarded; [id] is null where the event has none. */
     fun recordEvent(id: Long?) {
         meter?.recordEvent()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -50,7 +50,6 @@
     private var isOverdueRecorded = false
 
     private var connection: ClientConnection? = null
-    private val mayHaveRunBefore = progress.mayHaveRun
     private var isEnded = false
 
     /** The head of the response, if [awaitAnswer] has received it and it was not processed yet. */
@@ -91,9 +90,7 @@
         if (isEnded) return
         isEnded = true
         result?.let { recordResult(it) }
-        if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) {
-            progress.mayHaveRun = mayHaveRunBefore
-        }
+        if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) progress.recordNotRun()
         target.recordEnded(inFlight)
         val isComplete = result != null && result !is AttemptResult.Incomplete
         connection?.let { client.release(target, it, isComplete) }
@@ -124,7 +121,7 @@
             resumeAfterEvent = progress.lastEventId,
         )
         val headers = protocol.targetHeaders(request.head.headers(), instruction)
-        progress.mayHaveRun = true
+        progress.recordSent()
         progress.connections += connection
         connection.send(request.head.method(), request.head.uri(), headers, request.body)
         extendProgress(hasStarted = false)
