--- a/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -13,12 +13,14 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.awaitCancellation
 import org.heatherwind.core.fleet.CallerLimits
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import java.util.concurrent.Executor
 import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -147,11 +149,60 @@
         }
     }
 
-    private fun context(clock: MonotonicClock, serve: suspend (CallerResponseWriter) -> Unit) = CallerContext(
-        scope = CoroutineScope(Dispatchers.Unconfined),
+    // Guards against a whole request without an answer that the router ends before it has begun to serve it.
+    @Test
+    fun `given a request that was read when the stop ends before it is served then it is answered`() {
+        val tasks = ArrayDeque<Runnable>()
+        val scope = CoroutineScope(Executor { tasks.addLast(it) }.asCoroutineDispatcher())
+        val shared = context({ MonotonicTime(0) }, scope) { response ->
+            try {
+                awaitCancellation()
+            } catch (_: RouterStoppingException) {
+                response.respond("stopped")
+            }
+        }
+        val connection = CallerConnection(shared)
+        val channel = EmbeddedChannel(StrictRequestDecoder(HttpDecoderConfig()), HttpResponseEncoder(), connection)
+        channel.writeInbound(Unpooled.copiedBuffer(REQUEST_HEAD + "frit", Charsets.UTF_8))
+        connection.endRequest()
+        while (tasks.isNotEmpty()) tasks.removeFirst().run()
+        channel.runPendingTasks()
+        assertEquals("HTTP/1.1 200 OK", channel.readOutbound<ByteBuf>()?.toString(Charsets.UTF_8)?.lines()?.first())
+    }
+
+    // Guards against a partial request that keeps its connection and memory, without an answer, once the one before it has ended.
+    @Test
+    fun `given a partial request behind another one when its body does not arrive then it is answered`() {
+        val release = CompletableDeferred<Unit>()
+        val shared = context({ MonotonicTime(0) }, isDraining = false) { response ->
+            release.await()
+            response.respond("whole")
+        }
+        val channel = EmbeddedChannel(
+            StrictRequestDecoder(HttpDecoderConfig()),
+            HttpResponseEncoder(),
+            CallerConnection(shared),
+        )
+        channel.freezeTime()
+        channel.writeInbound(Unpooled.copiedBuffer(REQUEST_HEAD + "frit" + REQUEST_HEAD, Charsets.UTF_8))
+        release.complete(Unit)
+        channel.runPendingTasks()
+        channel.advanceTimeBy(1, TimeUnit.HOURS)
+        channel.runScheduledPendingTasks()
+        channel.runPendingTasks()
+        assertFalse(channel.isOpen)
+    }
+
+    private fun context(
+        clock: MonotonicClock,
+        scope: CoroutineScope = CoroutineScope(Dispatchers.Unconfined),
+        isDraining: Boolean = true,
+        serve: suspend (CallerResponseWriter) -> Unit,
+    ) = CallerContext(
+        scope = scope,
         clock = clock,
         limits = { CallerLimits() },
-        isDraining = { true },
+        isDraining = { isDraining },
         bodyMemory = BodyMemory(1_000_000),
         handler = { _, response -> serve(response) },
     )
