--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
@@ -15,9 +15,11 @@
 
 /**
  * Refuses requests whose content crashes targets, and notifies the other routers of crashes. Confined to the event loop.
+ *
+ * @property evidence what this router knows of crashes
  */
 internal class CrashProtection(
-    private val evidence: CrashEvidence,
+    val evidence: CrashEvidence,
     private val detector: TargetCrashDetector,
     private val notifier: CrashNotifier,
     private val scope: CoroutineScope,
