--- a/core/src/main/kotlin/org/heatherwind/core/crash/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/crash/CrashSuspects.kt
@@ -6,8 +6,9 @@
  * The crashes of targets under requests that had a [SuspectKey] in common, as known from all routers.
  *
  * A key that crashes every target never lets an answer begin, so an answer clears the key of earlier crashes. A key is
- * blocked after crashes at several separate moments without an answer, unless a key that is blocked already explains them:
- * the requests that share a deadly part of their prompts may share others too. Confined to one thread; bounded in size.
+ * blocked after crashes at several separate moments without an answer, unless a key that is blocked already explains
+ * them: the requests that share a deadly part of their prompts may share others too. Confined to one thread; bounded in
+ * size.
  */
 public class CrashSuspects {
     private val suspects = LinkedHashMap<SuspectKey, Suspect>()
@@ -55,7 +56,9 @@
         return true
     }
 
-    /** Blocks [key] if its crashes suffice, and unblocks those of the [earlier], less specific keys that it explains. */
+    /**
+     * Blocks [key] if its crashes suffice, and unblocks those of the [earlier], less specific keys that it explains.
+     */
     private fun block(key: SuspectKey, earlier: List<SuspectKey>, now: MonotonicTime): Boolean {
         val suspect = suspects[key] ?: return false
         val lessSpecific = earlier.mapNotNullTo(HashSet()) { suspects[it] }
@@ -66,18 +69,15 @@
     }
 
     /** Returns whether a blocked key accounts for the crashes of [suspect], except for one at most by chance. */
-    private fun isExplained(
-        suspect: Suspect,
-        ignored: Set<Suspect>,
-        now: MonotonicTime,
-    ): Boolean = suspects.values.any { other ->
-        other !== suspect && other !in ignored && other.isBlocked && now < other.expiresAt &&
-            suspect.crashes.keys.count { it !in other.crashes } < MINIMUM_UNEXPLAINED_CRASHES
-    }
+    private fun isExplained(suspect: Suspect, ignored: Set<Suspect>, now: MonotonicTime): Boolean =
+        suspects.values.any { other ->
+            other !== suspect && other !in ignored && other.isBlocked && now < other.expiresAt &&
+                suspect.crashes.keys.count { it !in other.crashes } < MINIMUM_UNEXPLAINED_CRASHES
+        }
 
     /**
-     * Records that an answer to a request with [key] began at [answeredAt]. Returns whether this clears the key of crashes.
-     * Whole requests seldom come again, so their answers are recorded only for suspects.
+     * Records that an answer to a request with [key] began at [answeredAt]. Returns whether this clears the key of
+     * crashes. Whole requests seldom come again, so their answers are recorded only for suspects.
      */
     public fun recordAnswer(key: SuspectKey, answeredAt: MonotonicTime): Boolean {
         val suspect = suspects[key]
@@ -174,7 +174,9 @@
         private const val ANSWER_LIFETIME_MILLISECONDS = 30_000L
         private const val CONSTANT_ANSWERS_MILLISECONDS = 1_000L
 
-        /** Crashes within this time count as one moment; routers see the same outage within some tens of milliseconds. */
+        /**
+         * Crashes within this time count as one moment; routers see the same outage within some tens of milliseconds.
+         */
         private const val MOMENT_MILLISECONDS = 500L
         private const val MINIMUM_UNEXPLAINED_CRASHES = 2
         private const val MAXIMUM_SUSPECTS = 256
--- a/core/src/main/kotlin/org/heatherwind/core/crash/SuspectKey.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/crash/SuspectKey.kt
@@ -5,8 +5,8 @@
 import java.util.HexFormat
 
 /**
- * Identifies what requests have in common that may crash targets: a part of their prompts, or the whole request. A short
- * hash, so that its size is bounded and it discloses nothing about the content.
+ * Identifies what requests have in common that may crash targets: a part of their prompts, or the whole request. A
+ * short hash, so that its size is bounded and it discloses nothing about the content.
  */
 @JvmInline
 public value class SuspectKey(public val value: String) {
--- a/core/src/test/kotlin/org/heatherwind/core/crash/CrashSuspectsTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/crash/CrashSuspectsTest.kt
@@ -8,7 +8,9 @@
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
-/** Given crashes of targets under requests with a common key, when they are recorded, then the key is blocked in time. */
+/**
+ * Given crashes of targets under requests with a common key, when they are recorded, then the key is blocked in time.
+ */
 class CrashSuspectsTest {
     private class Crash(val process: String, val atMilliseconds: Long)
 
@@ -48,7 +50,9 @@
     fun `a key is blocked after crashes at three separate moments`(): List<DynamicTest> = cases.map { case ->
         DynamicTest.dynamicTest(case.name) {
             val suspects = CrashSuspects()
-            val blocking = case.crashes.sumOf { suspects.recordCrash(it.process, listOf(key), time(it.atMilliseconds), now).size }
+            val blocking = case.crashes.sumOf {
+                suspects.recordCrash(it.process, listOf(key), time(it.atMilliseconds), now).size
+            }
             assertEquals(case.isBlocked, suspects.isBlocked(key, now))
             assertEquals(if (case.isBlocked) 1 else 0, blocking)
             assertFalse(suspects.isBlocked(otherKey, now))
@@ -171,7 +175,12 @@
         suspects.recordAnswer(key, now)
         assertEquals(now, suspects.recentAnswerAt(key, now.plusMilliseconds(29_999)))
         assertEquals(null, suspects.recentAnswerAt(key, now.plusMilliseconds(30_000)))
-        assertEquals(listOf(true, false), listOf(999L, 1_000).map { suspects.isAnsweredConstantly(key, now.plusMilliseconds(it)) })
+        assertEquals(
+            listOf(true, false),
+            listOf(999L, 1_000).map {
+                suspects.isAnsweredConstantly(key, now.plusMilliseconds(it))
+            },
+        )
         repeat(5_000) { suspects.recordAnswer(SuspectKey.ofPart("part $it"), now) }
         assertEquals(null, suspects.recentAnswerAt(key, now))
     }
--- a/core/src/test/kotlin/org/heatherwind/core/crash/SuspectKeyTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/crash/SuspectKeyTest.kt
@@ -22,7 +22,8 @@
         "a part" to SuspectKey.ofPart("/chat/1"),
     )
 
-    private val malformed = listOf("", "part-", "part-12", "part-0123456789abcdeg", "key-0123456789abcdef", "x".repeat(99))
+    private val malformed =
+        listOf("", "part-", "part-12", "part-0123456789abcdeg", "key-0123456789abcdef", "x".repeat(99))
 
     @TestFactory
     fun `different contents have different keys`(): List<DynamicTest> = different.map { (name, key) ->
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashEvidence.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashEvidence.kt
@@ -23,8 +23,8 @@
     }
 
     /**
-     * Records that this router's requests with [keys] were waiting for the begin of their answers when the target process
-     * [process] crashed. Keys to which answers begin all the time are ignored. Returns the others.
+     * Records that this router's requests with [keys] were waiting for the begin of their answers when the target
+     * process [process] crashed. Keys to which answers begin all the time are ignored. Returns the others.
      */
     fun recordOwnCrash(process: String, keys: List<SuspectKey>): List<SuspectKey> {
         val now = clock.now()
@@ -79,8 +79,8 @@
     }
 
     /**
-     * Adopts the observations in the [report] of another router or a predecessor. This process continues to report those
-     * of its predecessor. Returns the keys that are blocked by it.
+     * Adopts the observations in the [report] of another router or a predecessor. This process continues to report
+     * those of its predecessor. Returns the keys that are blocked by it.
      */
     fun adopt(report: RouterReport): List<SuspectKey> {
         val incarnation = Incarnation(report.incarnation)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashNotifier.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashNotifier.kt
@@ -17,8 +17,8 @@
     private val peers: () -> List<InetSocketAddress>,
 ) {
     /**
-     * Sends the notice that [compose] returns at the time of each attempt, until it returns null. Calls [onReceipt] with
-     * each response.
+     * Sends the notice that [compose] returns at the time of each attempt, until it returns null. Calls [onReceipt]
+     * with each response.
      */
     fun notifyPeers(compose: () -> CrashNotice?, onReceipt: (CrashNoticeReceipt) -> Unit) {
         peers().forEach { peer -> scope.launch { notifyPeer(peer, compose, onReceipt) } }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
@@ -14,7 +14,8 @@
 import org.heatherwind.gateway.telemetry.GatewayMetrics
 
 /**
- * Refuses requests whose content crashes targets, and notifies the other routers of crashes. Confined to the event loop.
+ * Refuses requests whose content crashes targets, and notifies the other routers of crashes. Confined to the event
+ * loop.
  *
  * @property evidence what this router knows of crashes
  */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/TargetCrashDetector.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/TargetCrashDetector.kt
@@ -11,8 +11,8 @@
 
 /**
  * Determines whether a target has crashed after the loss of a connection. The host of a crashed process refuses new
- * connections until the process is back, which takes seconds. After the loss of a single connection, a new one is accepted,
- * and in a partition there is no response.
+ * connections until the process is back, which takes seconds. After the loss of a single connection, a new one is
+ * accepted, and in a partition there is no response.
  *
  * @param isRefusing returns whether a new connection to the target is refused
  */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -51,8 +51,9 @@
     }
 
     private suspend fun mayContinueAfter(result: AttemptResult, placement: Placement): Boolean {
-        val isLostBeforeAnswer = result is AttemptResult.Incomplete && result.isConnectionLost && !progress.hasAnswerBegun
-        return !isLostBeforeAnswer || context.crashes.recordLostConnection(work, progress.keys, placement.target)
+        val isConnectionLost = result is AttemptResult.Incomplete && result.isConnectionLost
+        if (!isConnectionLost || progress.hasAnswerBegun) return true
+        return context.crashes.recordLostConnection(work, progress.keys, placement.target)
     }
 
     private fun mayAttempt(): Boolean {
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashEvidenceTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashEvidenceTest.kt
@@ -127,18 +127,20 @@
         repeat(200) { crash -> router.crash("target-$crash@1", keys(1_000)) }
         assertEquals(16, router.evidence.reports().size)
         assertEquals(64, router.evidence.reports().maxOf { it.keys.size })
-        val notice = CrashNotice(listOf(NoticedCrash("target-1@1", -5, listOf("", "part-", "x"))), listOf(NoticedAnswer("y", 1)))
+        val notice =
+            CrashNotice(listOf(NoticedCrash("target-1@1", -5, listOf("", "part-", "x"))), listOf(NoticedAnswer("y", 1)))
         assertEquals(emptyList(), router.evidence.adopt(notice))
     }
 
     private fun keys(count: Int) = List(count) { SuspectKey.ofPart("part $it") }
 
-    private fun blockEverywhere(routers: List<Router>, keys: List<SuspectKey> = listOf(shared, deadly)) = repeat(3) { number ->
-        val observer = routers[number % routers.size]
-        observer.crash("target-$number@1", keys)
-        routers.filter { it !== observer }.forEach { it.evidence.adopt(observer.notice("target-$number@1")) }
-        nowMilliseconds += 2_000
-    }
+    private fun blockEverywhere(routers: List<Router>, keys: List<SuspectKey> = listOf(shared, deadly)) =
+        repeat(3) { number ->
+            val observer = routers[number % routers.size]
+            observer.crash("target-$number@1", keys)
+            routers.filter { it !== observer }.forEach { it.evidence.adopt(observer.notice("target-$number@1")) }
+            nowMilliseconds += 2_000
+        }
 
     private companion object {
         const val EPOCH_MILLISECONDS = 1_700_000_000_000
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashProtectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashProtectionTest.kt
@@ -94,38 +94,45 @@
 
     // Guards against crashes of one target after the other while each router has seen only one or two of them.
     @Test
-    fun `crashes at three routers block the part at all routers and none of the parts that were answered`() = onEventLoop((1..5).map { Router(it) }) { routers ->
-        routers[4].answer("system", "shared", "own")
-        offsetMilliseconds += 5_000
-        (0..2).forEach { number ->
-            routers[number].lose("target-$number", "system", "deadly", "shared", "own $number")
-            awaitEverywhere(routers) { it.protection.suspectedTargets("deadly") == number + 1 }
-            awaitEverywhere(routers) { it.protection.isKnownAsAnswered("shared") }
-            offsetMilliseconds += 1_000
+    fun `crashes at three routers block the part at all routers and none of the parts that were answered`() =
+        onEventLoop(
+            (1..5).map {
+                Router(it)
+            },
+        ) { routers ->
+            routers[4].answer("system", "shared", "own")
+            offsetMilliseconds += 5_000
+            (0..2).forEach { number ->
+                routers[number].lose("target-$number", "system", "deadly", "shared", "own $number")
+                awaitEverywhere(routers) { it.protection.suspectedTargets("deadly") == number + 1 }
+                awaitEverywhere(routers) { it.protection.isKnownAsAnswered("shared") }
+                offsetMilliseconds += 1_000
+            }
+            awaitEverywhere(routers) { it.refuses("other", "deadly", "own") }
+            assertEquals(0, routers.count { it.refuses("system", "shared", "own") || it.refuses("shared", "deadly") })
         }
-        awaitEverywhere(routers) { it.refuses("other", "deadly", "own") }
-        assertEquals(0, routers.count { it.refuses("system", "shared", "own") || it.refuses("shared", "deadly") })
-    }
 
     @Test
-    fun `connections that are lost while the target accepts new ones leave no suspects`() = onEventLoop(listOf(Router(1, isRefusing = false))) { (router) ->
-        val retries = (1..5).map { number ->
-            offsetMilliseconds += 2_000
-            router.lose("target-$number", "deadly", "own")
+    fun `connections that are lost while the target accepts new ones leave no suspects`() =
+        onEventLoop(listOf(Router(1, isRefusing = false))) { (router) ->
+            val retries = (1..5).map { number ->
+                offsetMilliseconds += 2_000
+                router.lose("target-$number", "deadly", "own")
+            }
+            assertEquals(List(5) { true }, retries)
+            assertEquals(false, router.refuses("deadly", "own"))
         }
-        assertEquals(List(5) { true }, retries)
-        assertEquals(false, router.refuses("deadly", "own"))
-    }
 
     @Test
-    fun `a request is sent to another target only after the first crash`() = onEventLoop(listOf(Router(1))) { (router) ->
-        val retries = (1..3).map { number ->
-            offsetMilliseconds += 2_000
-            router.lose("target-$number", "deadly", "own")
+    fun `a request is sent to another target only after the first crash`() =
+        onEventLoop(listOf(Router(1))) { (router) ->
+            val retries = (1..3).map { number ->
+                offsetMilliseconds += 2_000
+                router.lose("target-$number", "deadly", "own")
+            }
+            assertEquals(listOf(true, false, false), retries)
+            assertEquals(true, router.lose("target-3", "sound", "own"))
         }
-        assertEquals(listOf(true, false, false), retries)
-        assertEquals(true, router.lose("target-3", "sound", "own"))
-    }
 
     /** The listeners of [routers] must be opened on another thread than their event loop. */
     private fun onEventLoop(routers: List<Router>, test: suspend (List<Router>) -> Unit): Unit =
