--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.serve
 
 import org.heatherwind.gateway.caller.CallerResponseWriter
+import org.heatherwind.gateway.crash.RequestKeys
 import org.heatherwind.gateway.http.ClientConnection
 
 /** How far a request got. */
@@ -42,6 +43,16 @@
         else -> RequestStage.READ
     }
 
+    /** Identifies the request's content; set when the request is admitted. */
+    lateinit var keys: RequestKeys
+
+    /** Called when the first answer of a target begins. */
+    var onAnswerBegun: () -> Unit = {}
+
+    /** Whether some target has begun to answer the request. */
+    var hasAnswerBegun = false
+        private set
+
     /** ID of the last event that was forwarded, or null. */
     var lastEventId: Long? = null
         private set
@@ -83,8 +94,16 @@
         possibleRuns--
     }
 
+    /** Records that a target has begun to answer the request. */
+    fun recordAnswerBegun() {
+        if (hasAnswerBegun) return
+        hasAnswerBegun = true
+        onAnswerBegun()
+    }
+
     /** Records and charges an event that is forwarded; [id] is null where the event has none. */
     fun recordEvent(id: Long?) {
+        recordAnswerBegun()
         meter?.recordEvent()
         eventCount++
         if (id != null) lastEventId = id
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -13,6 +13,8 @@
 import org.heatherwind.gateway.caller.ReceivedRequest
 import org.heatherwind.gateway.caller.RequestHandler
 import org.heatherwind.gateway.caller.RouterStoppingException
+import org.heatherwind.gateway.crash.CrashProtection
+import org.heatherwind.gateway.crash.RequestKeys
 import org.heatherwind.gateway.peer.PlacementAnnouncements
 import org.heatherwind.gateway.protocol.CallerProtocol
 import org.heatherwind.gateway.state.BudgetDecision
@@ -38,6 +40,7 @@
     val clock: MonotonicClock,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
+    val crashes: CrashProtection,
     val liveRouterCount: () -> Int,
     val stopDeadline: () -> MonotonicTime? = { null },
     val responseTimeouts: ResponseTimeoutPolicy = ResponseTimeoutPolicy(),
@@ -80,6 +83,8 @@
 
             is Either.Right -> {
                 progress.route = admitted.value.route.name
+                progress.keys = RequestKeys(admitted.value, request)
+                progress.onAnswerBegun = { context.crashes.recordAnswer(progress.keys) }
                 serveAdmitted(admitted.value, request, progress, planVersion)
             }
         }
@@ -159,6 +164,7 @@
         request: ReceivedRequest,
         progress: DeliveryProgress,
     ): RouterError? {
+        context.crashes.refusalOf(work, progress.keys)?.let { return it }
         val service = DestinationChoice.choose(work) ?: return RouterError(ResultCode.NO_TARGET_FREE)
         val customer = work.customer
         val tokens = work.tokens
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -157,7 +157,7 @@
             when (val part = connection.receive(deadline)) {
                 null -> return null
 
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
+                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason, isConnectionLost = true)
 
                 is ResponsePart.Body -> part.content.release()
 
@@ -190,7 +190,7 @@
             val part = nextPart(connection)
                 ?: return AttemptResult.Incomplete("no response before the progress deadline")
             when (part) {
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
+                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason, isConnectionLost = true)
                 is ResponsePart.Body -> part.content.release()
                 ResponsePart.End -> Unit
                 is ResponsePart.Head -> receiveResponse(connection, part.response)?.let { return it }
@@ -244,7 +244,7 @@
             when (val part = nextPart(connection)) {
                 null -> return AttemptResult.Incomplete("no progress in an error response: ${response.status()}")
 
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
+                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason, isConnectionLost = true)
 
                 is ResponsePart.Head -> return AttemptResult.Incomplete("second response head within a response")
 
@@ -273,7 +273,7 @@
             when (val part = nextPart(connection)) {
                 null -> return AttemptResult.Incomplete("no progress before the end of the body")
 
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
+                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason, isConnectionLost = true)
 
                 is ResponsePart.Head -> return AttemptResult.Incomplete("second response head within a response")
 
@@ -315,7 +315,7 @@
             if (splitter.isOverflowing) return AttemptResult.Incomplete("an event without end")
             when (val part = nextPart(connection)) {
                 null -> return AttemptResult.Incomplete("no event before the progress deadline")
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
+                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason, isConnectionLost = true)
                 is ResponsePart.Head -> return AttemptResult.Incomplete("second response head within a response")
                 ResponsePart.End -> return finishEvents(connection, response)
                 is ResponsePart.Body -> forwardCompleteEvents(response, part.content)
@@ -350,7 +350,7 @@
     private fun finishEvents(connection: ClientConnection, response: HttpResponse): AttemptResult {
         if (splitter.remainder().isReadable) return AttemptResult.Incomplete("the stream ended within an event")
         if (!isFirstEventRecorded && !connection.isResponseFramed) {
-            return AttemptResult.Incomplete("the stream ended before its first event")
+            return AttemptResult.Incomplete("the stream ended before its first event", isConnectionLost = true)
         }
         if (!progress.callerResponse.hasStarted) startEvents(response)
         progress.callerResponse.finish()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -36,8 +36,10 @@
         try {
             var attempt = startNext()
             while (attempt != null) {
-                if (recordResult(attempt, attempt.forward())) return null
-                attempt = takeSuccessor() ?: startNext()
+                val result = attempt.forward()
+                if (recordResult(attempt, result)) return null
+                val mayContinue = mayContinueAfter(result, attempt.placement)
+                attempt = takeSuccessor() ?: if (mayContinue) startNext() else null
             }
         } finally {
             takeSuccessor()?.end()
@@ -47,7 +49,7 @@
 
     /** Sends the request to a target. Returns the attempt, or null if no further target can be tried. */
     private suspend fun startNext(): TargetAttempt? {
-        while (mayAttempt()) {
+        while (!isBlocked() && mayAttempt()) {
             val placement = choose() ?: return null
             if (sentAttempts == 0) context.retries.recordFirstAttempt(service, context.clock.now())
             val attempt = newAttempt(placement)
@@ -63,7 +65,7 @@
      * target has taken the request over, as [successor]; otherwise the current attempt goes on.
      */
     private suspend fun takeOver(current: TargetAttempt): Boolean {
-        while (mayTakeOver()) {
+        while (!isBlocked() && mayTakeOver()) {
             val placement = choose() ?: break
             if (!context.retries.tryAcquire(service, context.clock.now())) break
             val attempt = newAttempt(placement)
@@ -73,6 +75,7 @@
                 return true
             }
             recordResult(attempt, result)
+            if (!mayContinueAfter(result, placement)) break
         }
         context.log.request(
             work.id,
@@ -94,6 +97,18 @@
 
     private fun takeSuccessor(): TargetAttempt? = successor.also { successor = null }
 
+    private fun isBlocked(): Boolean {
+        val refusal = context.crashes.refusalOf(work, progress.keys) ?: return false
+        if (!progress.mayHaveRun) error = refusal
+        return true
+    }
+
+    private suspend fun mayContinueAfter(result: AttemptResult, placement: Placement): Boolean {
+        val isConnectionLost = result is AttemptResult.Incomplete && result.isConnectionLost
+        if (!isConnectionLost || progress.hasAnswerBegun) return true
+        return context.crashes.recordLostConnection(work, progress.keys, placement.target)
+    }
+
     private fun mayAttempt(): Boolean {
         val isWithinLimits = triedTargets.size < MAXIMUM_TARGETS && countedAttempts < work.route.maximumTargets &&
             (!progress.mayHaveRun || mayRetry())
@@ -148,7 +163,10 @@
         logResult(attempt.placement, result)
         if (result !is AttemptResult.NotSent) sentAttempts++
         when (result) {
-            is AttemptResult.Delivered -> return true
+            is AttemptResult.Delivered -> {
+                progress.recordAnswerBegun()
+                return true
+            }
 
             is AttemptResult.NotSent, AttemptResult.Misdirected -> Unit
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -24,6 +24,8 @@
     private val unanswered = Counter.builder().name("heatherwind_requests_unanswered_total")
         .help("Requests that ended without a whole answer although the caller stayed, by route and stage reached.")
         .labelNames("route", "reached").register(registry)
+    private val requestsLostToCrashes = Counter.builder().name("heatherwind_requests_lost_to_crashes_total")
+        .help("Requests whose target crashed before the answer had begun.").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -47,6 +49,11 @@
         firstChunk.labelValues(route).observe(milliseconds / MILLISECONDS_PER_SECOND)
     }
 
+    /** Counts a request whose target crashed before the answer had begun. */
+    public fun countRequestLostToCrash() {
+        requestsLostToCrashes.inc()
+    }
+
     /** Counts a log line that was dropped. */
     public fun countDroppedLine() {
         droppedLines.inc()
