--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/RequestValidator.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/RequestValidator.kt
@@ -10,7 +10,7 @@
 
 /** Rejects malformed heads and ambiguous message lengths, which would allow request smuggling. */
 internal object RequestValidator {
-    /** Returns why [head] is rejected, or null if it is valid; the path and the headers may each have [maximumBytes]. */
+    /** Returns why [head] is rejected, or null if it is valid. Path and headers may each have [maximumBytes]. */
     fun validate(head: HttpRequest, maximumBytes: Int): RequestRejection? {
         val failure = head.decoderResult().cause()
         if (failure != null) return rejectionOf(failure)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -87,8 +87,7 @@
     }
 
     /** Waits for the next part of the response. */
-    suspend fun receive(): ResponsePart =
-        received(parts.receiveCatching().getOrNull() ?: ResponsePart.Failed(CLOSED))
+    suspend fun receive(): ResponsePart = received(parts.receiveCatching().getOrNull() ?: ResponsePart.Failed(CLOSED))
 
     /** Waits for the next part of the response up to [deadline]. Returns null if none has arrived by then. */
     @OptIn(ExperimentalCoroutinesApi::class)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -60,30 +60,72 @@
     private var isReplaceable = false
 
     /** Connects to the target. Returns null if that succeeded, or the result. */
-    suspend fun connect(): AttemptResult? = endingWithResult {
+    suspend fun connect(): AttemptResult? = ending {
         val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
         connection = client.connect(target, isRepeatable)
-        if (connection != null) return@endingWithResult null
+        if (connection != null) return@ending null
         target.recordConnectionFailure(clock.now())
         client.closeIdle(target)
         AttemptResult.NotSent("could not connect")
     }
 
     /** Sends the request; the attempt must be connected. */
-    fun send(): Unit = endingOnFailure { send(checkNotNull(connection)) }
+    fun send(): Unit = ending {
+        val instruction = TargetInstruction(
+            target = target.entry.id,
+            customer = work.customer?.id,
+            remainingMilliseconds = work.deadline.millisecondsSince(clock.now()).coerceAtLeast(1),
+            urgency = urgency,
+            resumeAfterEvent = progress.lastEventId,
+        )
+        val headers = protocol.targetHeaders(request.head.headers(), instruction)
+        progress.mayHaveRun = true
+        checkNotNull(connection).send(request.head.method(), request.head.uri(), headers, request.body)
+        extendProgress(hasStarted = false)
+    }
 
     /**
      * Waits until the target begins to answer the request that was sent, at most until [deadline]. Returns null then,
      * or the result if the target does not answer it. Nothing is forwarded to the caller.
      */
-    suspend fun awaitAnswer(deadline: MonotonicTime): AttemptResult? = endingWithResult {
-        awaitAnswer(checkNotNull(connection), deadline)
+    suspend fun awaitAnswer(deadline: MonotonicTime): AttemptResult? = ending {
+        val connection = checkNotNull(connection)
+        var result: AttemptResult? = null
+        while (result == null && receivedHead == null) {
+            result = when (val part = connection.receive(deadline)) {
+                null -> return@ending null
+
+                is ResponsePart.Failed -> AttemptResult.Incomplete(part.reason)
+
+                is ResponsePart.Body -> null.also { part.content.release() }
+
+                ResponsePart.End -> null
+
+                is ResponsePart.Head -> if (isAnswer(part.response)) {
+                    null.also { receivedHead = part }
+                } else {
+                    receiveResponse(connection, part.response)
+                }
+            }
+        }
+        result
     }
 
     /** Forwards the response to the caller; the request must have been sent. */
-    suspend fun forward(): AttemptResult = endingWithResult {
+    suspend fun forward(): AttemptResult = ending {
+        val connection = checkNotNull(connection)
         isReplaceable = true
-        receive(checkNotNull(connection))
+        var result = receivedHead?.let { receiveResponse(connection, it.response) }
+        while (result == null) {
+            result = when (val part = nextPart(connection)) {
+                null -> AttemptResult.Incomplete("no response before the progress deadline")
+                is ResponsePart.Failed -> AttemptResult.Incomplete(part.reason)
+                is ResponsePart.Body -> null.also { part.content.release() }
+                ResponsePart.End -> null
+                is ResponsePart.Head -> receiveResponse(connection, part.response)
+            }
+        }
+        result
     }
 
     /** Ends the attempt, with [result] if it has one. An attempt without a result closes its connection. */
@@ -100,35 +142,18 @@
     }
 
     /** Runs [act] and ends the attempt if that returns a result or fails. */
-    private inline fun <T : AttemptResult?> endingWithResult(act: () -> T): T = endingOnFailure {
-        val result = act()
-        if (result != null) end(result)
-        result
-    }
-
-    private inline fun <T> endingOnFailure(act: () -> T): T {
+    private inline fun <T> ending(act: () -> T): T {
         var isSuccessful = false
         try {
-            return act().also { isSuccessful = true }
+            val outcome = act()
+            isSuccessful = true
+            if (outcome is AttemptResult) end(outcome)
+            return outcome
         } finally {
             if (!isSuccessful) end()
         }
     }
 
-    private fun send(connection: ClientConnection) {
-        val instruction = TargetInstruction(
-            target = target.entry.id,
-            customer = work.customer?.id,
-            remainingMilliseconds = work.deadline.millisecondsSince(clock.now()).coerceAtLeast(1),
-            urgency = urgency,
-            resumeAfterEvent = progress.lastEventId,
-        )
-        val headers = protocol.targetHeaders(request.head.headers(), instruction)
-        progress.mayHaveRun = true
-        connection.send(request.head.method(), request.head.uri(), headers, request.body)
-        extendProgress(hasStarted = false)
-    }
-
     private fun recordResult(result: AttemptResult) {
         val now = clock.now()
         when (result) {
@@ -154,28 +179,6 @@
         isFirstEventRecorded = true
     }
 
-    private suspend fun awaitAnswer(connection: ClientConnection, deadline: MonotonicTime): AttemptResult? {
-        while (true) {
-            when (val part = connection.receive(deadline)) {
-                null -> return null
-
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
-
-                is ResponsePart.Body -> part.content.release()
-
-                ResponsePart.End -> Unit
-
-                is ResponsePart.Head -> {
-                    if (isAnswer(part.response)) {
-                        receivedHead = part
-                        return null
-                    }
-                    receiveResponse(connection, part.response)?.let { return it }
-                }
-            }
-        }
-    }
-
     /** Whether [response] begins an answer of the target that can be forwarded. */
     private fun isAnswer(response: HttpResponse): Boolean {
         val head = protocol.readResponse(response)
@@ -183,23 +186,6 @@
             !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
     }
 
-    private suspend fun receive(connection: ClientConnection): AttemptResult {
-        receivedHead?.let { head ->
-            receivedHead = null
-            receiveResponse(connection, head.response)?.let { return it }
-        }
-        while (true) {
-            val part = nextPart(connection)
-                ?: return AttemptResult.Incomplete("no response before the progress deadline")
-            when (part) {
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
-                is ResponsePart.Body -> part.content.release()
-                ResponsePart.End -> Unit
-                is ResponsePart.Head -> receiveResponse(connection, part.response)?.let { return it }
-            }
-        }
-    }
-
     /**
      * Reads the response that starts with the head [response]. Returns its result, or null for an informational
      * response or one that belongs to another request.
@@ -220,9 +206,15 @@
         val isEncoded = response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
         return when {
             head.isNotRun -> collect(connection, response) { notRun(head) }
+
             !head.isSigned || isEncoded -> AttemptResult.Incomplete("a response unsigned or with an encoded body")
-            head.status !in SUCCESS_STATUSES -> collect(connection, response) { body -> failed(head, response, body) }
+
+            head.status !in SUCCESS_STATUSES -> collect(connection, response) { body ->
+                AttemptResult.Failed(head.status, protocol.callerHeaders(response.headers()), body)
+            }
+
             isEventStream(response) -> forwardEvents(connection, response)
+
             else -> forwardBody(connection, response)
         }
     }
@@ -230,9 +222,6 @@
     private fun notRun(head: TargetResponseHead): AttemptResult =
         if (head.isMisdirected) AttemptResult.Misdirected else AttemptResult.NotRun(head.status)
 
-    private fun failed(head: TargetResponseHead, response: HttpResponse, body: ByteArray): AttemptResult =
-        AttemptResult.Failed(head.status, protocol.callerHeaders(response.headers()), body)
-
     private suspend fun collect(
         connection: ClientConnection,
         response: HttpResponse,
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -121,7 +121,7 @@
     fun `given an idle connection when the idle limit changes then the new limit counts`(): List<DynamicTest> = listOf(
         IdleCase("the same limit", limitAtStart = 200, limitLater = 200, isOpen = false),
         IdleCase("a raised limit", limitAtStart = 200, limitLater = 5_000, isOpen = true),
-        IdleCase("a lowered limit, which callers may not know yet", limitAtStart = 5_000, limitLater = 200, isOpen = true),
+        IdleCase("a lowered limit, unknown to the caller", limitAtStart = 5_000, limitLater = 200, isOpen = true),
     ).map { case ->
         DynamicTest.dynamicTest(case.name) {
             var now = MonotonicTime(0)
