--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -99,7 +99,9 @@
         var error: RouterError?
         try {
             val remainingMilliseconds = work.deadline.millisecondsSince(context.clock.now()).coerceAtLeast(1)
-            error = withTimeout(remainingMilliseconds) { serveWithReservation(work, request, progress) }
+            error = withTimeout(remainingMilliseconds) {
+                context.crashes.refusalOf(work, progress.keys) ?: serveWithReservation(work, request, progress)
+            }
         } catch (_: TimeoutCancellationException) {
             error = errorAtDeadline(progress)
         } catch (_: RouterStoppingException) {
@@ -164,7 +166,6 @@
         request: ReceivedRequest,
         progress: DeliveryProgress,
     ): RouterError? {
-        context.crashes.refusalOf(work, progress.keys)?.let { return it }
         val service = DestinationChoice.choose(work) ?: return RouterError(ResultCode.NO_TARGET_FREE)
         val customer = work.customer
         val tokens = work.tokens
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -65,9 +65,9 @@
      * target has taken the request over, as [successor]; otherwise the current attempt goes on.
      */
     private suspend fun takeOver(current: TargetAttempt): Boolean {
-        while (!isBlocked() && mayTakeOver()) {
-            val placement = choose() ?: break
-            if (!context.retries.tryAcquire(service, context.clock.now())) break
+        var mayContinue = true
+        while (mayContinue && !isBlocked() && mayTakeOver()) {
+            val placement = choose()?.takeIf { context.retries.tryAcquire(service, context.clock.now()) } ?: break
             val attempt = newAttempt(placement)
             val result = startBeside(attempt)
             if (result == null) {
@@ -75,7 +75,7 @@
                 return true
             }
             recordResult(attempt, result)
-            if (!mayContinueAfter(result, placement)) break
+            mayContinue = mayContinueAfter(result, placement)
         }
         context.log.request(
             work.id,
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -123,7 +123,7 @@
     fun `given an idle connection when the idle limit changes then the new limit counts`(): List<DynamicTest> = listOf(
         IdleCase("the same limit", limitAtStart = 200, limitLater = 200, isOpen = false),
         IdleCase("a raised limit", limitAtStart = 200, limitLater = 5_000, isOpen = true),
-        IdleCase("a lowered limit, which callers may not know yet", limitAtStart = 5_000, limitLater = 200, isOpen = true),
+        IdleCase("a lowered limit, unknown to the caller", limitAtStart = 5_000, limitLater = 200, isOpen = true),
     ).map { case ->
         DynamicTest.dynamicTest(case.name) {
             var now = MonotonicTime(0)
@@ -170,7 +170,7 @@
         assertEquals("HTTP/1.1 200 OK", channel.readOutbound<ByteBuf>()?.toString(Charsets.UTF_8)?.lines()?.first())
     }
 
-    // Guards against a partial request that keeps its connection and memory, without an answer, once the one before it has ended.
+    // Guards against a partial request that keeps its connection without an answer once the one before it has ended.
     @Test
     fun `given a partial request behind another one when its body does not arrive then it is answered`() {
         val release = CompletableDeferred<Unit>()
