Go on with periodic tasks after an unexpected failure

Cause: the readers of the store's partitions go on after an unexpected failure, but the tasks that publish reports, fence and close predecessors, send ceilings to the witness and adjust grants ended with the first one; a planned stop did not complete. A router without reports is not ready, or can spend no more tokens, and refuses every generation until it is started again. Change: a step that fails is logged, and the next one follows after the usual pause. Measured: all four cases of ReportPublisherTest (one failing call of the store, in the fencing or the first report) failed before and pass now.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -64,6 +64,7 @@
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.GatewayMetrics
+import org.heatherwind.gateway.telemetry.loggingFailures
 
 /**
  * One router process. All work runs on one event loop, so that state needs no locks.
@@ -234,9 +235,11 @@
             }
             endRequests()
             listener.closeIdle(clock.now())
-            withTimeoutOrNull(FINAL_WRITES_TIMEOUT_MILLISECONDS) {
-                budgets.returnAll()
-                reports.publishOnce()
+            log.loggingFailures("stop") {
+                withTimeoutOrNull(FINAL_WRITES_TIMEOUT_MILLISECONDS) {
+                    budgets.returnAll()
+                    reports.publishOnce()
+                }
             }
             log.process("Stopped.", "open" to listener.busyCount)
             stopped.complete(Unit)
@@ -264,8 +267,10 @@
     private suspend fun runMaintenance() {
         while (currentCoroutineContext().isActive) {
             delay(MAINTENANCE_INTERVAL_MILLISECONDS)
-            budgets.rebalance()
-            client.closeUnused()
+            log.loggingFailures("maintenance") {
+                budgets.rebalance()
+                client.closeUnused()
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorGrants.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorGrants.kt
@@ -10,6 +10,7 @@
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.telemetry.DecisionLog
+import org.heatherwind.gateway.telemetry.loggingFailures
 
 /** Closes the grants of predecessors on this instance, once they are fenced and can no longer report. */
 internal class PredecessorGrants(
@@ -22,8 +23,11 @@
     suspend fun closeAll() {
         var isDone = false
         while (!isDone) {
-            isDone = coroutineScope { (0 until ledgers.partitions).map { async { close(ledgers.at(it)) } }.awaitAll() }
-                .all { it }
+            log.loggingFailures("budget") {
+                isDone = coroutineScope {
+                    (0 until ledgers.partitions).map { async { close(ledgers.at(it)) } }.awaitAll()
+                }.all { it }
+            }
             if (!isDone) delay(RETRY_PAUSE_MILLISECONDS)
         }
         predecessorCharges.clear()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
@@ -22,6 +22,7 @@
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.store.StreamRead
 import org.heatherwind.gateway.telemetry.DecisionLog
+import org.heatherwind.gateway.telemetry.loggingFailures
 import java.net.InetSocketAddress
 
 /** Supplies the budgets that this router reports, and is notified when reports are sent and confirmed. */
@@ -86,10 +87,13 @@
 
     /** Fences predecessors, then publishes reports until cancelled. */
     suspend fun run(onFenced: () -> Unit) {
-        while (!fencePredecessors()) delay(FENCE_RETRY_PAUSE_MILLISECONDS)
+        while (!isFenced) {
+            log.loggingFailures("reports") { fencePredecessors() }
+            if (!isFenced) delay(FENCE_RETRY_PAUSE_MILLISECONDS)
+        }
         onFenced()
         while (currentCoroutineContext().isActive) {
-            publishOnce()
+            log.loggingFailures("reports") { publishOnce() }
             val minimumForFleet = peerReports.liveCount() * MINIMUM_PAUSE_PER_ROUTER_MILLISECONDS
             val minimumPause = maxOf(MINIMUM_PAUSE_MILLISECONDS, minimumForFleet)
             delay(minimumPause)
@@ -104,7 +108,7 @@
     suspend fun runWitnessUpdates() {
         while (currentCoroutineContext().isActive) {
             delay(if (isStoreUnresponsive()) WITNESS_INTERVAL_MILLISECONDS else INTERVAL_MILLISECONDS)
-            storeCeilingsOnce()
+            log.loggingFailures("witness") { storeCeilingsOnce() }
         }
     }
 
--- /dev/null
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/ReportPublisherTest.kt
@@ -0,0 +1,108 @@
+package org.heatherwind.gateway.state
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.InstanceId
+import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
+import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.gateway.peer.WitnessReference
+import org.heatherwind.gateway.peer.WitnessService
+import org.heatherwind.gateway.store.AppendCondition
+import org.heatherwind.gateway.store.NewRecord
+import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StreamAppend
+import org.heatherwind.gateway.store.StreamPartition
+import org.heatherwind.gateway.store.StreamRead
+import org.heatherwind.gateway.telemetry.DecisionLog
+import org.heatherwind.gateway.telemetry.GatewayMetrics
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Given an unexpected failure, when reports are published, then the router goes on reporting. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class ReportPublisherTest {
+    // Guards against a router that stops reporting, and so can spend no more tokens, after one unexpected failure.
+    @TestFactory
+    fun `given one failing call when reports are published then they go on`(): List<DynamicTest> =
+        (1..CALLS).map { failingCall ->
+            DynamicTest.dynamicTest("call $failingCall of the store fails") { publish(failingCall) }
+        }
+
+    private fun publish(failingCall: Int) = runTest {
+        val clock = MonotonicClock { MonotonicTime(currentTime) }
+        val log = DecisionLog(clock, GatewayMetrics())
+        val self = Incarnation.of(InstanceId("router-1"), Timestamp(1))
+        val records = MemoryRecords()
+        val store = MemoryRecordStore(records, Random(1), backgroundScope, faultProbability = 0.0)
+        val publisher = ReportPublisher(
+            self = self,
+            store = FailingStore(store, failingCall),
+            clock = clock,
+            log = log,
+            peerReports = PeerReports(self, clock, log),
+            predecessorCharges = PredecessorCharges(self, Timestamp(1), NoWitnesses, log),
+            wallClock = { Timestamp(1 + currentTime) },
+            isLeaving = { false },
+            peerAddress = null,
+            witnesses = NoWitnesses,
+        )
+        publisher.budgets = NoBudgets
+        val running = launch { publisher.run(onFenced = {}) }
+        delay(2_000)
+        assertTrue(publisher.isFenced)
+        val reports = records.of(ReportPublisher.partition).size
+        delay(1_000)
+        assertTrue(records.of(ReportPublisher.partition).size > reports)
+        assertEquals(false, publisher.isStoreUnresponsive())
+        running.cancel()
+    }
+
+    /** Throws an exception in one call, as a fault in the client would. */
+    private class FailingStore(private val store: RecordStore, private val failingCall: Int) : RecordStore by store {
+        private var calls = 0
+
+        override suspend fun newest(partition: StreamPartition): StreamRead = orFail { store.newest(partition) }
+
+        override suspend fun append(
+            partition: StreamPartition,
+            records: List<NewRecord>,
+            condition: AppendCondition,
+        ): StreamAppend = orFail { store.append(partition, records, condition) }
+
+        private inline fun <T> orFail(call: () -> T): T = if (++calls == failingCall) error("injected") else call()
+    }
+
+    private object NoWitnesses : WitnessService {
+        override suspend fun storeCeilings(
+            witness: WitnessReference,
+            holder: String,
+            ceilings: Map<String, Long>,
+        ): Boolean = false
+
+        override suspend fun closeCeilings(witness: WitnessReference, holder: String): Map<String, Long>? = null
+    }
+
+    private object NoBudgets : BudgetReportSource {
+        override fun currentReports(): Map<CustomerId, BudgetReport> = emptyMap()
+
+        override fun onProposed(reported: Map<CustomerId, BudgetReport>, sentAt: MonotonicTime) = Unit
+
+        override fun onConfirmed(reported: Map<CustomerId, BudgetReport>, sentAt: MonotonicTime) = Unit
+
+        override fun onWitnessed(reported: Map<CustomerId, BudgetReport>) = Unit
+    }
+
+    private companion object {
+        /** Two reads and an append fence the predecessors; the next call publishes the first report. */
+        const val CALLS = 4
+    }
+}
