--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -30,6 +30,8 @@
      * @param tokens the size of a generation, or null for a plain call
      * @param excluded targets to which the request was sent before
      * @param connectionsPerTarget limit on this router's in-flight requests on one target
+     * @param isSharedCacheAssumed whether the target that all routers prefer for shared prompt parts is assumed to
+     *   have them cached, which does not hold for targets that only a share of the requests reaches
      */
     public fun choose(
         candidates: List<TargetLoad>,
@@ -38,6 +40,7 @@
         excluded: Set<TargetId>,
         connectionsPerTarget: Int,
         now: MonotonicTime,
+        isSharedCacheAssumed: Boolean = true,
     ): Placement? {
         val available = candidates.filter {
             !it.isReplaced && it.entry.id !in excluded && it.inFlightRequests < connectionsPerTarget
@@ -45,7 +48,7 @@
         val eligible = available.filterNot { it.isSuspected(now) }.ifEmpty { available }
         if (eligible.isEmpty()) return null
         return if (engine != null && tokens != null) {
-            chooseForGeneration(eligible, engine, tokens, now)
+            chooseForGeneration(eligible, engine, tokens, now, isSharedCacheAssumed)
         } else {
             chooseForPlainCall(eligible, now)
         }
@@ -56,6 +59,7 @@
         engine: EngineProfile,
         tokens: TokenDemand,
         now: MonotonicTime,
+        isSharedCacheAssumed: Boolean,
     ): Placement? {
         // All routers prefer the same target for shared prompt parts, so it is assumed to have them cached.
         val preferred = tokens.sharedParts.lastOrNull()?.key?.let { key ->
@@ -65,7 +69,8 @@
         var best: Placement? = null
         var bestCost = Double.MAX_VALUE
         for (load in candidates) {
-            val cached = if (load === preferred) maxOf(shared, load.cachedTokens(tokens)) else load.cachedTokens(tokens)
+            val known = load.cachedTokens(tokens)
+            val cached = if (isSharedCacheAssumed && load === preferred) maxOf(shared, known) else known
             val uncached = (tokens.prompt - cached).coerceAtLeast(0)
             val prefill = PrefillTime.millisecondsOf(uncached, tokens.prompt)
             val expected = expectedMilliseconds(load, engine, prefill, now)
