Carry out the operators' orders for roll-outs

Cause: no code read the orders or the targets' versions.

Every router reads orders and statuses, sends a share of the first attempts to the new version, counts the answers of both, adds up the counters of all routers from their reports, and stores the phase on the condition that nothing was stored since it read the last one. A version that appears without an order waits until orders have been read that would name it. An order for the version in use is completed at once.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -20,6 +20,7 @@
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.identity.WallClock
 import org.heatherwind.core.retry.RetryThrottleLimits
+import org.heatherwind.core.rollout.RolloutPolicy
 import org.heatherwind.gateway.caller.BodyMemory
 import org.heatherwind.gateway.caller.CallerContext
 import org.heatherwind.gateway.caller.CallerListener
@@ -40,11 +41,13 @@
 import org.heatherwind.gateway.peer.StoreCeilingsResponse
 import org.heatherwind.gateway.peer.WitnessClient
 import org.heatherwind.gateway.protocol.CallerProtocol
+import org.heatherwind.gateway.rollout.RolloutManager
 import org.heatherwind.gateway.serve.RequestServer
 import org.heatherwind.gateway.serve.ServeContext
 import org.heatherwind.gateway.serve.TargetClient
 import org.heatherwind.gateway.state.BudgetLedgers
 import org.heatherwind.gateway.state.BudgetManager
+import org.heatherwind.gateway.state.CombinedSubscriber
 import org.heatherwind.gateway.state.FleetBudgetView
 import org.heatherwind.gateway.state.FleetDocuments
 import org.heatherwind.gateway.state.FleetState
@@ -92,7 +95,18 @@
     private val client = TargetClient(eventLoop, clock)
     private val peerClient = PeerClient(SimpleHttpClient(eventLoop, clock), log)
     private val witnessClient = WitnessClient(peerClient)
-    private val peerReports = PeerReports(self, clock, log)
+    private val rollouts = RolloutManager(
+        self = self,
+        store = store,
+        documents = documents,
+        state = state,
+        policy = RolloutPolicy(settings.exposureLimit),
+        clock = clock,
+        wallClock = WallClock.system::now,
+        log = log,
+        metrics = metrics,
+    )
+    private val peerReports = PeerReports(self, clock, log, onReport = rollouts::recordReport)
     private val predecessorCharges = PredecessorCharges(self, startedAt, witnessClient, log)
     private val reports = ReportPublisher(
         self = self,
@@ -105,6 +119,7 @@
         isLeaving = { isDraining },
         peerAddress = settings.peerAddress,
         witnesses = witnessClient,
+        rolloutReports = rollouts::reports,
     )
     private val ceilingWitness = CeilingWitness(self)
     private val retries = RetryThrottles(
@@ -151,6 +166,7 @@
                     retries = retries,
                     client = client,
                     announcements = announcements,
+                    rollouts = rollouts,
                     clock = clock,
                     log = log,
                     metrics = metrics,
@@ -183,7 +199,11 @@
         }
         val callerAddress = listener.listen(settings.callerAddress)
         registerGauges()
-        follow({ PLAN_POLLING }, documents.planPartition, PlanSubscriber(state, documents, log))
+        follow(
+            { PLAN_POLLING },
+            documents.planPartition,
+            CombinedSubscriber(listOf(rollouts.orders, PlanSubscriber(state, documents, log))),
+        )
         follow({ targetPolling }, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
         follow(peerReports::pollingPolicy, ReportPublisher.partition, peerReports)
         reports.budgets = budgets
@@ -193,13 +213,15 @@
             })
         }
         scope.launch { reports.runWitnessUpdates() }
+        scope.launch { rollouts.runStatusReads() }
+        scope.launch { rollouts.runDecisions() }
         scope.launch { runMaintenance() }
         log.process("Started.", "incarnation" to self.value, "callers" to callerAddress.toString())
         return BoundAddresses(callerAddress, readinessAddress, metricsAddress)
     }
 
     /** Returns whether requests can be served: the plan and the targets are known, and predecessors are fenced. */
-    public fun isReady(): Boolean = state.isReady && reports.isFenced && !isDraining
+    public fun isReady(): Boolean = state.isReady && rollouts.isReady && reports.isFenced && !isDraining
 
     /** Ends all tasks at once, without a drain, and stops listening for callers. */
     public fun abort() {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewaySettings.kt
@@ -11,6 +11,7 @@
  * @property retryRatio retries that the whole fleet may send per first attempt, for each service
  * @property retryBase retries that the whole fleet may send per window regardless of first attempts
  * @property partitionsPerStream number of partitions that the store has for each stream
+ * @property exposureLimit share of a service's requests that a new version may get before its roll-out is completed
  * @property targetDrainMilliseconds time from the entry of a target that drains until it may get no more requests
  */
 public data class GatewaySettings(
@@ -26,6 +27,7 @@
     val retryWindowMilliseconds: Long,
     val partitionsPerStream: Int,
     val targetDrainMilliseconds: Long = 2_000,
+    val exposureLimit: Double = 0.1,
 )
 
 /**
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/VersionedTargets.kt
@@ -0,0 +1,70 @@
+package org.heatherwind.gateway.rollout
+
+import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.ServiceId
+import org.heatherwind.core.placement.TargetLoad
+import org.heatherwind.core.rollout.RolloutPhase
+import org.heatherwind.core.rollout.VersionAdmission
+import org.heatherwind.core.routing.Rendezvous
+import org.heatherwind.gateway.state.FleetState
+
+/** Selects the targets of a service by version. Confined to the event loop. */
+internal class VersionedTargets(
+    private val state: FleetState,
+    private val rollouts: Rollouts,
+    private val clock: MonotonicClock,
+) {
+    private val groups = HashMap<ServiceId, VersionGroups>()
+    private val admissions = HashMap<ServiceId, VersionAdmission>()
+
+    /** Returns the targets of [service] to which any request may be sent. */
+    fun establishedOf(service: ServiceId): List<TargetLoad> {
+        val groups = groupsOf(service)
+        val rollout = rollouts.of(service)?.rollout
+        if (rollout == null) {
+            if (groups.byVersion.size <= 1) return groups.all
+            val now = clock.now()
+            val admission = admissions.getValue(service)
+            return groups.all.filter { admission.isAdmitted(it.entry.version, now, rollouts.ordersReadAt) }
+        }
+        val introduced = groups.byVersion[rollout.order.targetVersion].orEmpty()
+        val others = groups.all.filter { it.entry.version != rollout.order.targetVersion }
+        return when (rollout.phase) {
+            RolloutPhase.Completed -> introduced.ifEmpty { others }
+
+            RolloutPhase.RolledBack, RolloutPhase.Running, null -> {
+                val abandoned = rollouts.abandonedVersionsOf(service)
+                val isInUse = rollout.phase == null && rollout.isVersionInUse == true
+                if (isInUse) introduced else others.filterNot { it.entry.version in abandoned }
+            }
+        }
+    }
+
+    /** Returns the targets of the ordered version that get a share of the requests of [service]. */
+    fun introducedOf(service: ServiceId): List<TargetLoad> {
+        val rollout = rollouts.of(service)?.rollout ?: return emptyList()
+        val introduced = groupsOf(service).byVersion[rollout.order.targetVersion].orEmpty()
+        val count = rollouts.policy.targetCount(establishedOf(service).size, rollout.evidence.introducedAnswers)
+        if (introduced.size <= count) return introduced
+        val remaining = introduced.toMutableList()
+        return List(count) {
+            Rendezvous.first("rollout", remaining) { it.entry.id.value }!!.also { remaining -= it }
+        }
+    }
+
+    /** Returns whether all targets of [service] have [version], or null if none is known. */
+    fun hasOnly(service: ServiceId, version: String): Boolean? =
+        groupsOf(service).byVersion.keys.takeIf { it.isNotEmpty() }?.let { it == setOf(version) }
+
+    private fun groupsOf(service: ServiceId): VersionGroups {
+        val candidates = state.candidatesOf(service)
+        groups[service]?.takeIf { it.all === candidates }?.let { return it }
+        val grouped = VersionGroups(candidates, candidates.groupBy { it.entry.version })
+        groups[service] = grouped
+        admissions.getOrPut(service) { VersionAdmission() }
+            .recordVersions(grouped.byVersion.mapValues { it.value.size }, clock.now())
+        return grouped
+    }
+
+    private class VersionGroups(val all: List<TargetLoad>, val byVersion: Map<String, List<TargetLoad>>)
+}
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.serve
 
 import org.heatherwind.gateway.caller.CallerResponseWriter
+import org.heatherwind.gateway.rollout.AttemptObservation
 
 /** What the caller has received of the response, over all attempts. */
 internal class DeliveryProgress(val callerResponse: CallerResponseWriter) {
@@ -18,9 +19,13 @@
     /** Charges events to the customer, or null where nothing is charged. */
     var meter: TokenMeter? = null
 
+    /** Observes the current attempt during a roll-out, or null. */
+    var observation: AttemptObservation? = null
+
     /** Records and charges an event that is forwarded; [id] is null where the event has none. */
     fun recordEvent(id: Long?) {
         meter?.recordEvent()
+        observation?.recordEvent()
         eventCount++
         if (id != null) lastEventId = id
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -12,6 +12,7 @@
 import org.heatherwind.gateway.caller.RequestHandler
 import org.heatherwind.gateway.peer.PlacementAnnouncements
 import org.heatherwind.gateway.protocol.CallerProtocol
+import org.heatherwind.gateway.rollout.RolloutManager
 import org.heatherwind.gateway.state.BudgetDecision
 import org.heatherwind.gateway.state.BudgetManager
 import org.heatherwind.gateway.state.FleetState
@@ -31,6 +32,7 @@
     val retries: RetryThrottles,
     val client: TargetClient,
     val announcements: PlacementAnnouncements,
+    val rollouts: RolloutManager,
     val clock: MonotonicClock,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -5,6 +5,7 @@
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.placement.Placement
 import org.heatherwind.core.placement.PlacementPolicy
+import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.placement.UrgencyPolicy
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.work.Repeatability
@@ -27,6 +28,7 @@
     /** Attempts in which the request was sent, including misdirected ones. */
     private var sentAttempts = 0
     private var lastFailure: AttemptResult.Failed? = null
+    private val isIntroducedDrawn = context.rollouts.drawIntroduced(service)
     private var error = RouterError(ResultCode.NO_TARGET_FREE, RETRY_AFTER_MILLISECONDS)
 
     /** Tries targets until a response is delivered. Returns null if one was, or the error for the caller. */
@@ -59,17 +61,28 @@
         Repeatability.Resumable -> !progress.callerResponse.hasStarted || progress.lastEventId != null
     }
 
+    /** Chooses a target. Only the first attempt may go to a version that is being introduced. */
     private fun choose(): Placement? {
+        val introduced = if (isIntroducedDrawn && triedTargets.isEmpty()) {
+            chooseAmong(context.rollouts.introducedTargetsOf(service), isSharedCacheAssumed = false)
+        } else {
+            null
+        }
+        return introduced ?: chooseAmong(context.rollouts.targetsOf(service), isSharedCacheAssumed = true)
+    }
+
+    private fun chooseAmong(candidates: List<TargetLoad>, isSharedCacheAssumed: Boolean): Placement? {
         val profile: ServiceProfile? = context.state.routes?.plan?.services?.get(service)
         val connections = (profile?.maximumConnections ?: DEFAULT_CONNECTIONS) * CONNECTION_SHARE /
             context.liveRouterCount().coerceAtLeast(1)
         return PlacementPolicy.choose(
-            candidates = context.state.candidatesOf(service),
+            candidates = candidates,
             engine = profile?.engine,
             tokens = work.tokens,
             excluded = triedTargets,
             connectionsPerTarget = connections.toInt().coerceAtLeast(MINIMUM_CONNECTIONS),
             now = context.clock.now(),
+            isSharedCacheAssumed = isSharedCacheAssumed,
         )
     }
 
@@ -79,18 +92,7 @@
         context.metrics.countSend(service.value, isFirst = sentAttempts == 0)
         logChoice(placement)
         work.tokens?.let { context.announcements.announce(placement, it) }
-        val result = TargetAttempt(
-            work = work,
-            request = request,
-            placement = placement,
-            progress = progress,
-            urgency = work.tokens?.let { UrgencyPolicy.urgencyOf(work) },
-            protocol = context.protocol,
-            client = context.client,
-            clock = context.clock,
-            responseTimeouts = context.responseTimeouts,
-            mayContinueElsewhere = ::mayContinueElsewhere,
-        ).run()
+        val result = observed(placement) { send(placement) }
         if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) {
             progress.mayHaveRun = mayHaveRunBefore
         }
@@ -98,6 +100,32 @@
         return result
     }
 
+    /** Observes [attempt] if the service has a roll-out under way. */
+    private suspend fun observed(placement: Placement, attempt: suspend () -> AttemptResult): AttemptResult {
+        val observation = context.rollouts.observe(service, work.route.name, placement) ?: return attempt()
+        progress.observation = observation
+        var result: AttemptResult? = null
+        try {
+            return attempt().also { result = it }
+        } finally {
+            progress.observation = null
+            result?.let { observation.end(it) } ?: observation.abandon()
+        }
+    }
+
+    private suspend fun send(placement: Placement): AttemptResult = TargetAttempt(
+        work = work,
+        request = request,
+        placement = placement,
+        progress = progress,
+        urgency = work.tokens?.let { UrgencyPolicy.urgencyOf(work) },
+        protocol = context.protocol,
+        client = context.client,
+        clock = context.clock,
+        responseTimeouts = context.responseTimeouts,
+        mayContinueElsewhere = ::mayContinueElsewhere,
+    ).run()
+
     /** Records the [result] of an attempt. Returns whether the request is complete. */
     private fun recordResult(result: AttemptResult): Boolean {
         if (result !is AttemptResult.NotSent) sentAttempts++
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
@@ -15,6 +15,7 @@
 import org.heatherwind.gateway.http.hostAndPort
 import org.heatherwind.gateway.peer.WitnessReference
 import org.heatherwind.gateway.peer.WitnessService
+import org.heatherwind.gateway.rollout.RolloutReport
 import org.heatherwind.gateway.store.AppendCondition
 import org.heatherwind.gateway.store.NewRecord
 import org.heatherwind.gateway.store.RecordStore
@@ -55,6 +56,7 @@
     private val isLeaving: () -> Boolean,
     private val peerAddress: InetSocketAddress?,
     private val witnesses: WitnessService,
+    private val rolloutReports: () -> Map<String, RolloutReport> = { emptyMap() },
 ) {
     /** The source of the budgets in reports. */
     lateinit var budgets: BudgetReportSource
@@ -164,6 +166,7 @@
             isDraining = isLeaving(),
             peerAddress = peerAddress?.hostAndPort,
             witness = peerReports.selectWitness(confirmedWitness),
+            rollouts = rolloutReports(),
         )
         lastComposedAt = clock.now()
         budgets.onProposed(reported, lastComposedAt)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.telemetry
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -20,6 +21,12 @@
     private val firstChunk = Histogram.builder().name("heatherwind_first_piece_seconds")
         .help("Time from arrival to the first piece of an answer.").labelNames("route")
         .classicOnly().register(registry)
+    private val rolloutAttempts = Counter.builder().name("heatherwind_rollout_attempts_total")
+        .help("Requests sent to targets while a roll-out was under way, by service and version.")
+        .labelNames("service", "version").register(registry)
+    private val rolloutShare = Gauge.builder().name("heatherwind_rollout_share")
+        .help("Share of a service's requests that this router sends to the version of a roll-out.")
+        .labelNames("service").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -38,6 +45,16 @@
         firstChunk.labelValues(route).observe(milliseconds / MILLISECONDS_PER_SECOND)
     }
 
+    /** Counts a request sent to a target of [service] with [version] during a roll-out. */
+    public fun countRolloutAttempt(service: String, version: String) {
+        rolloutAttempts.labelValues(service, version).inc()
+    }
+
+    /** Records the [share] of the requests of [service] that go to the version of its roll-out. */
+    public fun recordRolloutShare(service: String, share: Double) {
+        rolloutShare.labelValues(service).set(share)
+    }
+
     /** Counts a log line that was dropped. */
     public fun countDroppedLine() {
         droppedLines.inc()
