--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -21,6 +21,7 @@
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.identity.WallClock
 import org.heatherwind.core.retry.RetryThrottleLimits
+import org.heatherwind.core.rollout.RolloutPolicy
 import org.heatherwind.gateway.caller.BodyMemory
 import org.heatherwind.gateway.caller.CallerContext
 import org.heatherwind.gateway.caller.CallerListener
@@ -47,11 +48,13 @@
 import org.heatherwind.gateway.peer.StoreCeilingsResponse
 import org.heatherwind.gateway.peer.WitnessClient
 import org.heatherwind.gateway.protocol.CallerProtocol
+import org.heatherwind.gateway.rollout.RolloutManager
 import org.heatherwind.gateway.serve.RequestServer
 import org.heatherwind.gateway.serve.ServeContext
 import org.heatherwind.gateway.serve.TargetClient
 import org.heatherwind.gateway.state.BudgetLedgers
 import org.heatherwind.gateway.state.BudgetManager
+import org.heatherwind.gateway.state.CombinedSubscriber
 import org.heatherwind.gateway.state.FleetBudgetView
 import org.heatherwind.gateway.state.FleetDocuments
 import org.heatherwind.gateway.state.FleetState
@@ -100,7 +103,15 @@
     private val client = TargetClient(eventLoop, clock)
     private val peerClient = PeerClient(SimpleHttpClient(eventLoop, clock), log)
     private val witnessClient = WitnessClient(peerClient)
-    private val peerReports: PeerReports = PeerReports(self, clock, log, onReport = { crashes.receiveReport(it) })
+    private val peerReports: PeerReports = PeerReports(
+        self,
+        clock,
+        log,
+        onReport = {
+            crashes.receiveReport(it)
+            rollouts.recordReport(it)
+        },
+    )
     private val crashEvidence = CrashEvidence(self, clock, WallClock.system::now)
     private val crashes: CrashProtection = CrashProtection(
         evidence = crashEvidence,
@@ -111,6 +122,17 @@
         log = log,
         metrics = metrics,
     )
+    private val rollouts: RolloutManager = RolloutManager(
+        self = self,
+        store = store,
+        documents = documents,
+        state = state,
+        policy = RolloutPolicy(settings.exposureLimit),
+        clock = clock,
+        wallClock = WallClock.system::now,
+        log = log,
+        metrics = metrics,
+    )
     private val predecessorCharges = PredecessorCharges(self, startedAt, witnessClient, log)
     private val reports = ReportPublisher(
         self = self,
@@ -124,6 +146,7 @@
         peerAddress = settings.peerAddress,
         witnesses = witnessClient,
         crashes = crashEvidence::reports,
+        rolloutReports = rollouts::reports,
     )
     private val ceilingWitness = CeilingWitness(self)
     private val retries = RetryThrottles(
@@ -170,6 +193,7 @@
                     retries = retries,
                     client = client,
                     announcements = announcements,
+                    rollouts = rollouts,
                     clock = clock,
                     log = log,
                     metrics = metrics,
@@ -207,7 +231,11 @@
         }
         val callerAddress = listener.listen(settings.callerAddress)
         registerGauges()
-        follow({ PLAN_POLLING }, documents.planPartition, PlanSubscriber(state, documents, log))
+        follow(
+            { PLAN_POLLING },
+            documents.planPartition,
+            CombinedSubscriber(listOf(rollouts.orders, PlanSubscriber(state, documents, log))),
+        )
         follow({ targetPolling }, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
         follow(peerReports::pollingPolicy, ReportPublisher.partition, peerReports)
         reports.budgets = budgets
@@ -217,13 +245,15 @@
             })
         }
         scope.launch { reports.runWitnessUpdates() }
+        scope.launch { rollouts.runStatusReads() }
+        scope.launch { rollouts.runDecisions() }
         scope.launch { runMaintenance() }
         log.process("Started.", "incarnation" to self.value, "callers" to callerAddress.toString())
         return BoundAddresses(callerAddress, readinessAddress, metricsAddress)
     }
 
     /** Returns whether requests can be served: the plan and the targets are known, and predecessors are fenced. */
-    public fun isReady(): Boolean = state.isReady && reports.isFenced && !isDraining
+    public fun isReady(): Boolean = state.isReady && rollouts.isReady && reports.isFenced && !isDraining
 
     /** Ends all tasks at once, without a drain, and stops listening for callers. */
     public fun abort() {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -17,6 +17,7 @@
 import org.heatherwind.gateway.crash.RequestKeys
 import org.heatherwind.gateway.peer.PlacementAnnouncements
 import org.heatherwind.gateway.protocol.CallerProtocol
+import org.heatherwind.gateway.rollout.RolloutManager
 import org.heatherwind.gateway.state.BudgetDecision
 import org.heatherwind.gateway.state.BudgetManager
 import org.heatherwind.gateway.state.FleetState
@@ -37,6 +38,7 @@
     val retries: RetryThrottles,
     val client: TargetClient,
     val announcements: PlacementAnnouncements,
+    val rollouts: RolloutManager,
     val clock: MonotonicClock,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -15,11 +15,13 @@
 import org.heatherwind.gateway.protocol.CallerProtocol
 import org.heatherwind.gateway.protocol.TargetInstruction
 import org.heatherwind.gateway.protocol.TargetResponseHead
+import org.heatherwind.gateway.rollout.AttemptObservation
 import java.io.ByteArrayOutputStream
 
 /**
  * One attempt of a request on one target: [connect], [send], then [forward].
  *
+ * @param observation observes the attempt during a roll-out, or null
  * @param takeOver called when the response is overdue; returns whether another target has taken the request over, and
  * this attempt is to end
  */
@@ -33,6 +35,7 @@
     private val client: TargetClient,
     private val clock: MonotonicClock,
     private val responseTimeouts: ResponseTimeoutPolicy,
+    private val observation: AttemptObservation?,
     private val takeOver: suspend (TargetAttempt) -> Boolean,
 ) {
     private val target = placement.target
@@ -135,6 +138,7 @@
         isEnded = true
         result?.let { recordResult(it) }
         if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) progress.recordNotRun()
+        if (result == null) observation?.abandon() else observation?.end(result)
         target.recordEnded(inFlight)
         val isComplete = result != null && result !is AttemptResult.Incomplete
         connection?.let { client.release(target, it, isComplete) }
@@ -329,6 +333,7 @@
             }
             if (!progress.callerResponse.hasStarted) startEvents(response)
             progress.recordEvent(event.id)
+            observation?.recordEvent()
             progress.callerResponse.write(event.bytes)
         }
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -5,6 +5,7 @@
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.placement.Placement
 import org.heatherwind.core.placement.PlacementPolicy
+import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.placement.UrgencyPolicy
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.work.Repeatability
@@ -26,6 +27,7 @@
 
     /** Attempts in which the request was sent, including misdirected ones. */
     private var sentAttempts = 0
+    private val isIntroducedDrawn = context.rollouts.drawIntroduced(service)
     private var error = RouterError(ResultCode.NO_TARGET_FREE, RETRY_AFTER_MILLISECONDS)
 
     /** The attempt that has taken the request over from the current one, which is about to end. */
@@ -125,17 +127,28 @@
         Repeatability.Resumable -> !progress.callerResponse.hasStarted || progress.lastEventId != null
     }
 
+    /** Chooses a target. Only the first attempt may go to a version that is being introduced. */
     private fun choose(): Placement? {
+        val introduced = if (isIntroducedDrawn && triedTargets.isEmpty()) {
+            chooseAmong(context.rollouts.introducedTargetsOf(service), isSharedCacheAssumed = false)
+        } else {
+            null
+        }
+        return introduced ?: chooseAmong(context.rollouts.targetsOf(service), isSharedCacheAssumed = true)
+    }
+
+    private fun chooseAmong(candidates: List<TargetLoad>, isSharedCacheAssumed: Boolean): Placement? {
         val profile: ServiceProfile? = context.state.routes?.plan?.services?.get(service)
         val connections = (profile?.maximumConnections ?: DEFAULT_CONNECTIONS) * CONNECTION_SHARE /
             context.liveRouterCount().coerceAtLeast(1)
         return PlacementPolicy.choose(
-            candidates = context.state.candidatesOf(service),
+            candidates = candidates,
             engine = profile?.engine,
             tokens = work.tokens,
             excluded = triedTargets,
             connectionsPerTarget = connections.toInt().coerceAtLeast(MINIMUM_CONNECTIONS),
             now = context.clock.now(),
+            isSharedCacheAssumed = isSharedCacheAssumed,
         )
     }
 
@@ -154,6 +167,7 @@
             client = context.client,
             clock = context.clock,
             responseTimeouts = context.responseTimeouts,
+            observation = context.rollouts.observe(service, work.route.name, placement),
             takeOver = ::takeOver,
         )
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
@@ -16,6 +16,7 @@
 import org.heatherwind.gateway.http.hostAndPort
 import org.heatherwind.gateway.peer.WitnessReference
 import org.heatherwind.gateway.peer.WitnessService
+import org.heatherwind.gateway.rollout.RolloutReport
 import org.heatherwind.gateway.store.AppendCondition
 import org.heatherwind.gateway.store.NewRecord
 import org.heatherwind.gateway.store.RecordStore
@@ -58,6 +59,7 @@
     private val peerAddress: InetSocketAddress?,
     private val witnesses: WitnessService,
     private val crashes: () -> List<CrashReport> = { emptyList() },
+    private val rolloutReports: () -> Map<String, RolloutReport> = { emptyMap() },
 ) {
     /** The source of the budgets in reports. */
     lateinit var budgets: BudgetReportSource
@@ -171,6 +173,7 @@
             peerAddress = peerAddress?.hostAndPort,
             witness = peerReports.selectWitness(confirmedWitness),
             crashes = crashes(),
+            rollouts = rolloutReports(),
         )
         lastComposedAt = clock.now()
         budgets.onProposed(reported, lastComposedAt)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -12,6 +12,7 @@
 import org.heatherwind.core.escrow.SpendCeiling
 import org.heatherwind.gateway.crash.CrashReport
 import org.heatherwind.gateway.peer.WitnessReference
+import org.heatherwind.gateway.rollout.RolloutReport
 
 /**
  * A router's periodic report to the other routers.
@@ -26,6 +27,7 @@
  * @property peerAddress IP address and port for calls of other routers, as `host:port`
  * @property witness the router that stores its ceilings while the store is unreachable
  * @property crashes crashes of targets that the process, or a predecessor, observed
+ * @property rollouts counters of the answers of both versions, by service with a roll-out under way
  */
 @Serializable
 internal data class RouterReport(
@@ -39,6 +41,7 @@
     val peerAddress: String? = null,
     val witness: WitnessReference? = null,
     val crashes: List<CrashReport> = emptyList(),
+    val rollouts: Map<String, RolloutReport> = emptyMap(),
 )
 
 /**
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.telemetry
 
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -26,6 +27,12 @@
         .labelNames("route", "reached").register(registry)
     private val requestsLostToCrashes = Counter.builder().name("heatherwind_requests_lost_to_crashes_total")
         .help("Requests whose target crashed before the answer had begun.").register(registry)
+    private val rolloutAttempts = Counter.builder().name("heatherwind_rollout_attempts_total")
+        .help("Requests sent to targets while a roll-out was under way, by service and version.")
+        .labelNames("service", "version").register(registry)
+    private val rolloutShare = Gauge.builder().name("heatherwind_rollout_share")
+        .help("Share of a service's requests that this router sends to the version of a roll-out.")
+        .labelNames("service").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -54,6 +61,16 @@
         requestsLostToCrashes.inc()
     }
 
+    /** Counts a request sent to a target of [service] with [version] during a roll-out. */
+    public fun countRolloutAttempt(service: String, version: String) {
+        rolloutAttempts.labelValues(service, version).inc()
+    }
+
+    /** Records the [share] of the requests of [service] that go to the version of its roll-out. */
+    public fun recordRolloutShare(service: String, share: Double) {
+        rolloutShare.labelValues(service).set(share)
+    }
+
     /** Counts a log line that was dropped. */
     public fun countDroppedLine() {
         droppedLines.inc()
