--- a/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -137,7 +137,7 @@
         assertEquals("HTTP/1.1 200 OK", channel.readOutbound<ByteBuf>()?.toString(Charsets.UTF_8)?.lines()?.first())
     }
 
-    // Guards against a partial request that keeps its connection and memory, without an answer, once the one before it has ended.
+    // Guards against a partial request without an answer that keeps its memory once the one before it has ended.
     @Test
     fun `given a partial request behind another one when its body does not arrive then it is answered`() {
         val release = CompletableDeferred<Unit>()
