Keep a target that goes on before the other one has answered

Cause: a target that had the request for 200 ms without refusing it counted as having taken it over, and the first one was closed even if its answer had gone on meanwhile. If the second one was frozen, or silent itself, the answer was lost. Change: without an answer from the second target, the first one is kept if parts of its response have arrived; the second one is closed, and no third one is tried. The second target may have worked on the request for 200 ms while the first one goes on, as it may already where it fails or breaks off.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -80,6 +80,9 @@
 
     val isOpen: Boolean get() = channel.isActive
 
+    /** Whether the connection is open and parts of a response have arrived that were not received yet. */
+    val hasArrivedParts: Boolean get() = isOpen && !parts.isEmpty
+
     init {
         channel.pipeline().addFirst(RawReader())
         channel.pipeline().addLast(ResponseReader())
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -55,6 +55,12 @@
     /** The head of the response, if [awaitAnswer] has received it and it was not processed yet. */
     private var receivedHead: ResponsePart.Head? = null
 
+    /** Whether [awaitAnswer] has received the head of a response that can be forwarded. */
+    val hasAnswered: Boolean get() = receivedHead != null
+
+    /** Whether parts of the response have arrived that were not processed yet, and more may follow. */
+    val isGoingOn: Boolean get() = connection?.hasArrivedParts == true
+
     /** Whether another target may take the request over from this attempt. */
     private var isReplaceable = false
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -63,11 +63,11 @@
      * target has taken the request over, as [successor]; otherwise the current attempt goes on.
      */
     private suspend fun takeOver(current: TargetAttempt): Boolean {
-        while (mayTakeOver()) {
+        while (mayTakeOver() && !current.isGoingOn) {
             val placement = choose() ?: break
             if (!context.retries.tryAcquire(service, context.clock.now())) break
             val attempt = newAttempt(placement)
-            val result = startBeside(attempt)
+            val result = startBeside(attempt, current)
             if (result == null) {
                 successor = attempt
                 return true
@@ -85,11 +85,17 @@
         return false
     }
 
-    /** Starts [attempt] beside the current one. Returns null if it has taken the request over, or its result. */
-    private suspend fun startBeside(attempt: TargetAttempt): AttemptResult? {
+    /**
+     * Starts [attempt] beside the [current] one. Returns null if it has taken the request over, or its result. It does
+     * not take over without an answer if the current target goes on with its own.
+     */
+    private suspend fun startBeside(attempt: TargetAttempt, current: TargetAttempt): AttemptResult? {
         attempt.connect()?.let { return it }
         attempt.send()
-        return attempt.awaitAnswer(context.clock.now().plusMilliseconds(MAXIMUM_OVERLAP_MILLISECONDS))
+        val result = attempt.awaitAnswer(context.clock.now().plusMilliseconds(MAXIMUM_OVERLAP_MILLISECONDS))
+        if (result != null || attempt.hasAnswered || !current.isGoingOn) return result
+        attempt.end()
+        return AttemptResult.Incomplete("no answer before the first target went on")
     }
 
     private fun takeSuccessor(): TargetAttempt? = successor.also { successor = null }
