Count the send of a successor as a repeated one

Cause: the metric of sends took the number of recorded attempts, and an attempt whose response is overdue is not recorded yet. Change: a request that may have run is repeated. Not covered by a test.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -126,7 +126,7 @@
 
     private fun newAttempt(placement: Placement): TargetAttempt {
         triedTargets += placement.target.entry.id
-        context.metrics.countSend(service.value, isFirst = sentAttempts == 0)
+        context.metrics.countSend(service.value, isFirst = sentAttempts == 0 && !progress.mayHaveRun)
         logChoice(placement)
         work.tokens?.let { context.announcements.announce(placement, it) }
         return TargetAttempt(
