Refuse requests whose content crashed targets

Cause: a failure whose cause is the request was handled as a failure of the target only. The content, which is what repeats, left no trace, and no router knew of crashes at others.

Change: when a connection is lost before the answer has begun, a router checks whether the target refuses new connections. If so, hashed keys of the prompt's parts (but the last) and of the whole request become suspects. Crashes go to all routers by notices and in reports; an answer at any router clears a key. A key is blocked after crashes at three separate moments without an answer; of keys that explain the same crashes only the most specific. Such requests get 503 (3014) before they reach a target. A log line names the keys and counts, and there are a counter and a gauge.

--- a/core/src/main/kotlin/org/heatherwind/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/result/ResultCode.kt
@@ -72,6 +72,7 @@
     REQUEST_MEMORY_FULL(3010, 503, Execution.NOT_RUN, "The router holds too many request bodies."),
     DEADLINE_BEFORE_START(3011, 503, Execution.NOT_RUN, "The deadline passed before a target took the request."),
     BUDGET_UNDIVIDED(3013, 503, Execution.NOT_RUN, "No tokens of the budget are free at this router at present."),
+    CRASHING_REQUEST_BLOCKED(3014, 503, Execution.NOT_RUN, "Requests with this content crashed several targets."),
     NO_TARGET_FREE(4000, 503, Execution.NOT_RUN, "No target had a free slot before the deadline."),
     TARGET_REFUSED(4001, 503, Execution.NOT_RUN, "Every target tried refused the request before running it."),
     TARGET_FAILED(
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -23,6 +23,12 @@
 import org.heatherwind.gateway.caller.BodyMemory
 import org.heatherwind.gateway.caller.CallerContext
 import org.heatherwind.gateway.caller.CallerListener
+import org.heatherwind.gateway.crash.CrashEvidence
+import org.heatherwind.gateway.crash.CrashNotice
+import org.heatherwind.gateway.crash.CrashNoticeReceipt
+import org.heatherwind.gateway.crash.CrashNotifier
+import org.heatherwind.gateway.crash.CrashProtection
+import org.heatherwind.gateway.crash.TargetCrashDetector
 import org.heatherwind.gateway.http.SimpleHttpClient
 import org.heatherwind.gateway.http.SimpleHttpListener
 import org.heatherwind.gateway.http.SimpleResponse
@@ -92,7 +98,17 @@
     private val client = TargetClient(eventLoop, clock)
     private val peerClient = PeerClient(SimpleHttpClient(eventLoop, clock), log)
     private val witnessClient = WitnessClient(peerClient)
-    private val peerReports = PeerReports(self, clock, log)
+    private val peerReports: PeerReports = PeerReports(self, clock, log, onReport = { crashes.receiveReport(it) })
+    private val crashEvidence = CrashEvidence(self, clock, WallClock.system::now)
+    private val crashes: CrashProtection = CrashProtection(
+        evidence = crashEvidence,
+        detector = TargetCrashDetector(scope, clock, client::isRefusing),
+        notifier = CrashNotifier(scope, peerClient) { peerReports.peerAddresses() },
+        scope = scope,
+        clock = clock,
+        log = log,
+        metrics = metrics,
+    )
     private val predecessorCharges = PredecessorCharges(self, startedAt, witnessClient, log)
     private val reports = ReportPublisher(
         self = self,
@@ -105,6 +121,7 @@
         isLeaving = { isDraining },
         peerAddress = settings.peerAddress,
         witnesses = witnessClient,
+        crashes = crashEvidence::reports,
     )
     private val ceilingWitness = CeilingWitness(self)
     private val retries = RetryThrottles(
@@ -154,6 +171,7 @@
                     clock = clock,
                     log = log,
                     metrics = metrics,
+                    crashes = crashes,
                     liveRouterCount = { peerReports.liveCount() },
                 ),
             ),
@@ -269,6 +287,12 @@
             CloseCeilingsResponse.serializer(),
             ceilingWitness::closeCeilings,
         ),
+        PeerEndpoint(
+            CrashNotifier.PATH,
+            CrashNotice.serializer(),
+            CrashNoticeReceipt.serializer(),
+            crashes::receiveNotice,
+        ),
     )
 
     private fun readiness(): SimpleResponse = SimpleResponse(if (isReady()) OK else UNAVAILABLE, ByteArray(0))
@@ -283,6 +307,9 @@
         metrics.gauge("heatherwind_plan_version", "Version of the routing plan in force.") {
             (state.routes?.plan?.version ?: 0).toDouble()
         }
+        metrics.gauge("heatherwind_blocked_suspects", "Prompt parts and requests that are refused for crashes.") {
+            crashes.blockedCount.toDouble()
+        }
         metrics.gauge("heatherwind_request_body_bytes", "Bytes of request bodies held.") {
             bodyMemory.heldBytes.toDouble()
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
@@ -2,14 +2,17 @@
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpDecoderConfig
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
+import java.net.ConnectException
 import java.net.InetSocketAddress
 
 /** Opens HTTP connections and pools idle ones for reuse. Confined to one event loop. */
@@ -43,10 +46,25 @@
     }
 
     /** Opens a connection to [address]. Returns null if it is not established within [timeoutMilliseconds]. */
-    suspend fun connect(address: InetSocketAddress, timeoutMilliseconds: Long): ClientConnection? {
-        val future = bootstrap.clone()
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMilliseconds.toInt().coerceAtLeast(1))
-            .connect(address)
+    suspend fun connect(address: InetSocketAddress, timeoutMilliseconds: Long): ClientConnection? =
+        establish(startConnect(address, timeoutMilliseconds))
+
+    /**
+     * Returns whether the host at [address] refuses a new connection. A connection that is established within
+     * [timeoutMilliseconds] is added to the pool.
+     */
+    suspend fun isRefused(address: InetSocketAddress, timeoutMilliseconds: Long): Boolean {
+        val future = startConnect(address, timeoutMilliseconds)
+        establish(future)?.let { release(it, address) }
+        val cause = future.cause()
+        return cause is ConnectException && cause !is ConnectTimeoutException
+    }
+
+    private fun startConnect(address: InetSocketAddress, timeoutMilliseconds: Long): ChannelFuture = bootstrap.clone()
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMilliseconds.toInt().coerceAtLeast(1))
+        .connect(address)
+
+    private suspend fun establish(future: ChannelFuture): ClientConnection? {
         var isEstablished = false
         try {
             isEstablished = future.awaitSuccess()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/AttemptResult.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/AttemptResult.kt
@@ -29,6 +29,10 @@
     /** The target ran the request and sent a complete error response. */
     class Failed(val status: Int, val headers: HttpHeaders, val body: ByteArray) : AttemptResult
 
-    /** No complete, valid response was received; the request may have run. */
-    data class Incomplete(val reason: String) : AttemptResult
+    /**
+     * No complete, valid response was received; the request may have run.
+     *
+     * @property isConnectionLost whether the connection failed or was closed by the target
+     */
+    data class Incomplete(val reason: String, val isConnectionLost: Boolean = false) : AttemptResult
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -10,6 +10,8 @@
 import org.heatherwind.gateway.caller.CallerResponseWriter
 import org.heatherwind.gateway.caller.ReceivedRequest
 import org.heatherwind.gateway.caller.RequestHandler
+import org.heatherwind.gateway.crash.CrashProtection
+import org.heatherwind.gateway.crash.RequestKeys
 import org.heatherwind.gateway.peer.PlacementAnnouncements
 import org.heatherwind.gateway.protocol.CallerProtocol
 import org.heatherwind.gateway.state.BudgetDecision
@@ -34,6 +36,7 @@
     val clock: MonotonicClock,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
+    val crashes: CrashProtection,
     val liveRouterCount: () -> Int,
     val responseTimeouts: ResponseTimeoutPolicy = ResponseTimeoutPolicy(),
 )
@@ -64,7 +67,8 @@
     }
 
     private suspend fun serveAdmitted(work: WorkRequest, request: ReceivedRequest, response: CallerResponseWriter) {
-        val progress = DeliveryProgress(response)
+        val keys = RequestKeys(work, request)
+        val progress = DeliveryProgress(response, keys) { context.crashes.recordAnswer(keys) }
         var error: RouterError?
         try {
             val remainingMilliseconds = work.deadline.millisecondsSince(context.clock.now()).coerceAtLeast(1)
@@ -86,6 +90,7 @@
         request: ReceivedRequest,
         progress: DeliveryProgress,
     ): RouterError? {
+        context.crashes.refusalOf(work, progress.keys)?.let { return it }
         val customer = work.customer
         val tokens = work.tokens
         if (customer == null || tokens == null) return serveAttempts(work, request, progress)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -115,7 +115,7 @@
             val part = nextPart(connection)
                 ?: return AttemptResult.Incomplete("no response before the progress deadline")
             when (part) {
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
+                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason, isConnectionLost = true)
                 is ResponsePart.Body -> part.content.release()
                 ResponsePart.End -> Unit
                 is ResponsePart.Head -> receiveResponse(connection, part.response)?.let { return it }
@@ -166,7 +166,7 @@
             when (val part = nextPart(connection)) {
                 null -> return AttemptResult.Incomplete("no progress in an error response: ${response.status()}")
 
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
+                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason, isConnectionLost = true)
 
                 is ResponsePart.Head -> return AttemptResult.Incomplete("second response head within a response")
 
@@ -195,7 +195,7 @@
             when (val part = nextPart(connection)) {
                 null -> return AttemptResult.Incomplete("no progress before the end of the body")
 
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
+                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason, isConnectionLost = true)
 
                 is ResponsePart.Head -> return AttemptResult.Incomplete("second response head within a response")
 
@@ -237,7 +237,7 @@
             if (splitter.isOverflowing) return AttemptResult.Incomplete("an event without end")
             when (val part = nextPart(connection)) {
                 null -> return AttemptResult.Incomplete("no event before the progress deadline")
-                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason)
+                is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason, isConnectionLost = true)
                 is ResponsePart.Head -> return AttemptResult.Incomplete("second response head within a response")
                 ResponsePart.End -> return finishEvents(response)
                 is ResponsePart.Body -> forwardCompleteEvents(response, part.content)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -31,10 +31,12 @@
 
     /** Tries targets until a response is delivered. Returns null if one was, or the error for the caller. */
     suspend fun run(): RouterError? {
-        while (mayAttempt()) {
+        while (!isBlocked() && mayAttempt()) {
             val placement = choose() ?: break
             if (sentAttempts == 0) context.retries.recordFirstAttempt(service, context.clock.now())
-            if (recordResult(attempt(placement))) return null
+            val result = attempt(placement)
+            if (recordResult(result)) return null
+            if (!mayContinueAfter(result, placement)) break
         }
         val failure = lastFailure ?: return error
         if (progress.callerResponse.hasStarted) return error
@@ -42,6 +44,18 @@
         return null
     }
 
+    private fun isBlocked(): Boolean {
+        val refusal = context.crashes.refusalOf(work, progress.keys) ?: return false
+        if (!progress.mayHaveRun) error = refusal
+        return true
+    }
+
+    private suspend fun mayContinueAfter(result: AttemptResult, placement: Placement): Boolean {
+        val isConnectionLost = result is AttemptResult.Incomplete && result.isConnectionLost
+        if (!isConnectionLost || progress.hasAnswerBegun) return true
+        return context.crashes.recordLostConnection(work, progress.keys, placement.target)
+    }
+
     private fun mayAttempt(): Boolean {
         val isWithinLimits = triedTargets.size < MAXIMUM_TARGETS && countedAttempts < work.route.maximumTargets &&
             (!progress.mayHaveRun || mayRetry())
@@ -102,7 +116,10 @@
     private fun recordResult(result: AttemptResult): Boolean {
         if (result !is AttemptResult.NotSent) sentAttempts++
         when (result) {
-            is AttemptResult.Delivered -> return true
+            is AttemptResult.Delivered -> {
+                progress.recordAnswerBegun()
+                return true
+            }
 
             is AttemptResult.NotSent, AttemptResult.Misdirected -> Unit
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
@@ -25,6 +25,10 @@
             ?: connections.connect(address, CONNECT_TIMEOUT_MILLISECONDS)
     }
 
+    /** Returns whether the host of [target] refuses a new connection, since no process listens there. */
+    suspend fun isRefusing(target: TargetLoad): Boolean =
+        connections.isRefused(addressOf(target), CONNECT_TIMEOUT_MILLISECONDS)
+
     /** Returns [connection] to the pool if the response is complete and it can be reused, and closes it otherwise. */
     fun release(target: TargetLoad, connection: ClientConnection, isComplete: Boolean) {
         if (isComplete && connection.finish()) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -19,6 +19,7 @@
     private val self: Incarnation,
     private val clock: MonotonicClock,
     private val log: DecisionLog,
+    private val onReport: (RouterReport) -> Unit = {},
 ) : StreamSubscriber {
     private val latestByInstance = HashMap<InstanceId, ReceivedReport>()
     private var lastReadAt = MonotonicTime.distantPast
@@ -133,6 +134,7 @@
         try {
             val report = Json.decodeFromString(RouterReport.serializer(), value.decodeToString())
             latestByInstance[InstanceId(record.key)] = ReceivedReport(report, now)
+            onReport(report)
         } catch (failure: SerializationException) {
             log.stateChange(
                 "reports",
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
@@ -12,6 +12,7 @@
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.gateway.crash.CrashReport
 import org.heatherwind.gateway.http.hostAndPort
 import org.heatherwind.gateway.peer.WitnessReference
 import org.heatherwind.gateway.peer.WitnessService
@@ -55,6 +56,7 @@
     private val isLeaving: () -> Boolean,
     private val peerAddress: InetSocketAddress?,
     private val witnesses: WitnessService,
+    private val crashes: () -> List<CrashReport> = { emptyList() },
 ) {
     /** The source of the budgets in reports. */
     lateinit var budgets: BudgetReportSource
@@ -164,6 +166,7 @@
             isDraining = isLeaving(),
             peerAddress = peerAddress?.hostAndPort,
             witness = peerReports.selectWitness(confirmedWitness),
+            crashes = crashes(),
         )
         lastComposedAt = clock.now()
         budgets.onProposed(reported, lastComposedAt)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.encoding.Encoder
 import org.heatherwind.core.escrow.HolderCharge
 import org.heatherwind.core.escrow.SpendCeiling
+import org.heatherwind.gateway.crash.CrashReport
 import org.heatherwind.gateway.peer.WitnessReference
 
 /**
@@ -24,6 +25,7 @@
  * @property isDraining whether the router drains and accepts no new callers
  * @property peerAddress IP address and port for calls of other routers, as `host:port`
  * @property witness the router that stores its ceilings while the store is unreachable
+ * @property crashes crashes of targets that the process, or a predecessor, observed
  */
 @Serializable
 internal data class RouterReport(
@@ -36,6 +38,7 @@
     @SerialName("isLeaving") val isDraining: Boolean = false,
     val peerAddress: String? = null,
     val witness: WitnessReference? = null,
+    val crashes: List<CrashReport> = emptyList(),
 )
 
 /**
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -20,6 +20,8 @@
     private val firstChunk = Histogram.builder().name("heatherwind_first_piece_seconds")
         .help("Time from arrival to the first piece of an answer.").labelNames("route")
         .classicOnly().register(registry)
+    private val requestsLostToCrashes = Counter.builder().name("heatherwind_requests_lost_to_crashes_total")
+        .help("Requests whose target crashed before the answer had begun.").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -38,6 +40,11 @@
         firstChunk.labelValues(route).observe(milliseconds / MILLISECONDS_PER_SECOND)
     }
 
+    /** Counts a request whose target crashed before the answer had begun. */
+    public fun countRequestLostToCrash() {
+        requestsLostToCrashes.inc()
+    }
+
     /** Counts a log line that was dropped. */
     public fun countDroppedLine() {
         droppedLines.inc()
