Answer a request also if the router fails with an error

Cause: RequestServer handled exceptions only. An error such as StackOverflowError or NoClassDefFoundError still closed the caller's connection without an answer and without a line with the request's ID. Found by review. Change: every throwable but a cancellation ends in an answer and in a log line.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -60,7 +60,7 @@
             serve(request, progress, planVersion)
         } catch (end: CancellationException) {
             throw end
-        } catch (@Suppress("TooGenericExceptionCaught") failure: Exception) {
+        } catch (@Suppress("TooGenericExceptionCaught") failure: Throwable) {
             // Whatever fails, a request that was read gets an answer.
             endWithFailure(request, progress, planVersion, failure)
         }
@@ -142,7 +142,7 @@
         request: ReceivedRequest,
         progress: DeliveryProgress,
         planVersion: Long?,
-        failure: Exception,
+        failure: Throwable,
     ) {
         val error = if (progress.mayHaveRun) {
             RouterError(ResultCode.ROUTER_FAILED)
