Sum up the established version's answers once for each comparison

Cause: the sum over all routes was computed anew for each way in which a version may be worse and for each route. Change: it is computed once for each update and passed on; no change of behaviour.

--- a/core/src/main/kotlin/org/heatherwind/core/rollout/VersionComparison.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/rollout/VersionComparison.kt
@@ -40,11 +40,12 @@
             windowStartedAt = now
             sums.values.forEach { it.windowGain = 0.0 }
         }
+        val allEstablished = evidence.established.values.fold(NONE) { sum, counts -> sum + counts }
         for (alternative in ALTERNATIVES) {
             var pooled = 0.0
             for ((route, counts) in evidence.introduced) {
                 val added = counts - (compared.introduced[route] ?: NONE)
-                val ratio = ratioOf(alternative, added, evidence, route)
+                val ratio = ratioOf(alternative, added, evidence.established[route] ?: NONE, allEstablished)
                 pooled += ratio
                 add(Hypothesis(route, alternative), ratio)
             }
@@ -58,24 +59,18 @@
     private fun ratioOf(
         alternative: Alternative,
         added: AnswerCounts,
-        evidence: VersionEvidence,
-        route: String,
-    ): Double {
-        val established = evidence.established[route] ?: NONE
-        return when (alternative) {
-            is Alternative.Failing -> LikelihoodRatio.ofFailures(added, established, alternative.excess)
-
-            is Alternative.Slower -> {
-                val pooled = evidence.established.values.fold(NONE) { sum, counts -> sum + counts }
-                LikelihoodRatio.ofTimes(
-                    introduced = added.histogram(alternative.signal),
-                    established = established.histogram(alternative.signal),
-                    pooled = pooled.histogram(alternative.signal),
-                    shift = alternative.shift,
-                    fraction = alternative.fraction,
-                )
-            }
-        }
+        established: AnswerCounts,
+        allEstablished: AnswerCounts,
+    ): Double = when (alternative) {
+        is Alternative.Failing -> LikelihoodRatio.ofFailures(added, established, alternative.excess)
+
+        is Alternative.Slower -> LikelihoodRatio.ofTimes(
+            introduced = added.histogram(alternative.signal),
+            established = established.histogram(alternative.signal),
+            pooled = allEstablished.histogram(alternative.signal),
+            shift = alternative.shift,
+            fraction = alternative.fraction,
+        )
     }
 
     private fun add(hypothesis: Hypothesis, ratio: Double) {
