Let one function choose the error of a request that ends early

Cause: the errors at the deadline and at a planned stop were chosen by two functions that differed in their codes only. Change: one function with the codes as arguments; no change of behaviour.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -105,9 +105,17 @@
                 context.crashes.refusalOf(work, progress.keys) ?: serveWithReservation(work, request, progress)
             }
         } catch (_: TimeoutCancellationException) {
-            error = errorAtDeadline(progress)
+            error = errorAtEnd(
+                progress,
+                mayHaveRun = RouterError(ResultCode.DEADLINE_PASSED),
+                notRun = RouterError(ResultCode.DEADLINE_BEFORE_START),
+            )
         } catch (_: RouterStoppingException) {
-            error = errorAtStop(progress)
+            error = errorAtEnd(
+                progress,
+                mayHaveRun = RouterError(ResultCode.ROUTER_STOPPED),
+                notRun = RouterError(ResultCode.ROUTER_DRAINING, STOP_RETRY_AFTER_MILLISECONDS),
+            )
         } catch (disconnect: CancellationException) {
             recordAdmittedEnd(work, ResultCode.CALLER_LEFT, progress, planVersion)
             throw disconnect
@@ -116,17 +124,13 @@
         if (error != null) writeError(progress, error)
     }
 
-    private fun errorAtDeadline(progress: DeliveryProgress): RouterError? = when {
-        progress.callerResponse.isFinished || progress.deliverFailure() -> null
-        progress.mayHaveRun -> RouterError(ResultCode.DEADLINE_PASSED)
-        else -> RouterError(ResultCode.DEADLINE_BEFORE_START)
-    }
-
-    private fun errorAtStop(progress: DeliveryProgress): RouterError? = when {
-        progress.callerResponse.isFinished || progress.deliverFailure() -> null
-        progress.mayHaveRun -> RouterError(ResultCode.ROUTER_STOPPED)
-        else -> RouterError(ResultCode.ROUTER_DRAINING, STOP_RETRY_AFTER_MILLISECONDS)
-    }
+    /** Returns the error for a request that ends before it is complete, or null if its caller has an answer. */
+    private fun errorAtEnd(progress: DeliveryProgress, mayHaveRun: RouterError, notRun: RouterError): RouterError? =
+        when {
+            progress.callerResponse.isFinished || progress.deliverFailure() -> null
+            progress.mayHaveRun -> mayHaveRun
+            else -> notRun
+        }
 
     /** Sends [error] to the caller, or records that the request ends without a whole answer if one has started. */
     private fun writeError(progress: DeliveryProgress, error: RouterError) {
