Write the last message of a response in one place

Cause: a complete response and the end of a chunked one repeated the write, its record and the choice of the listener. Change: both call writeLast; no change of behaviour.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerResponseWriter.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerResponseWriter.kt
@@ -64,9 +64,7 @@
         if (status !in BODILESS_STATUSES) headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         setConnectionHeader(response)
         startedAt = clock.now()
-        isFinished = true
-        val written = channel.writeAndFlush(response).also { lastWrite = it }
-        written.addListener(if (isKeptAlive) ChannelFutureListener.CLOSE_ON_FAILURE else ChannelFutureListener.CLOSE)
+        writeLast(response)
     }
 
     /** Sends the head of a response whose body follows in chunks. */
@@ -87,8 +85,12 @@
 
     /** Completes a response that [start] began. */
     fun finish() {
+        writeLast(LastHttpContent.EMPTY_LAST_CONTENT)
+    }
+
+    private fun writeLast(message: Any) {
         isFinished = true
-        val written = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).also { lastWrite = it }
+        val written = channel.writeAndFlush(message).also { lastWrite = it }
         written.addListener(if (isKeptAlive) ChannelFutureListener.CLOSE_ON_FAILURE else ChannelFutureListener.CLOSE)
     }
 
