Keep the platform's header names out of a test of the gateway

Cause: the bytes of an unsolicited response had a header name of the platform, which belongs into the adapter only. Change: a neutral name; the pool does not read headers, and all cases and assertions stay.

--- a/gateway/src/test/kotlin/org/heatherwind/gateway/http/ConnectionPoolTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/http/ConnectionPoolTest.kt
@@ -82,7 +82,7 @@
         const val TIMEOUT_MILLISECONDS = 5_000L
         const val HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 4"
         const val RESPONSE = "$HEAD\r\n\r\ndone"
-        const val REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        const val REFUSAL = "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
 
         fun Socket.write(text: String) = getOutputStream().write(text.encodeToByteArray())
     }
