--- a/review/src/Caller.java
+++ b/review/src/Caller.java
@@ -17,6 +17,7 @@
         final long timeout;
         final long deadline;
         volatile double endedAfter = Double.MAX_VALUE;
+        volatile int events;
         volatile String end = "no answer before the client's deadline";
 
         Request(String id, String route, long timeout, long deadline) {
@@ -37,21 +38,26 @@
 
     /** Sends a request in a thread of its own. */
     Thread send(InetSocketAddress router, String route, long timeout, long deadline) {
+        return send(router, route, timeout, deadline, Fleet.KEY, 800, 140);
+    }
+
+    Thread send(
+        InetSocketAddress router, String route, long timeout, long deadline, String key, int prompt, int output) {
         Request request = new Request(Long.toHexString(NUMBERS.incrementAndGet()), route, timeout, deadline);
         requests.add(request);
-        Thread thread = new Thread(() -> call(router, request));
+        Thread thread = new Thread(() -> call(router, request, key, prompt, output));
         thread.setDaemon(true);
         thread.start();
         return thread;
     }
 
-    private void call(InetSocketAddress router, Request request) {
+    private void call(InetSocketAddress router, Request request, String key, int prompt, int output) {
         boolean isGet = request.route.equals("lookup");
         boolean isStream = request.route.equals("chat") || request.route.equals("review");
         String body = isGet ? "" : "b".repeat(600);
         String text = (isGet ? "GET" : "POST") + " /" + request.route + "/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: "
-            + request.id + "\r\nDeadline-Ms: " + request.deadline + "\r\nAuthorization: Bearer " + Fleet.KEY + "\r\n"
-            + (isStream ? "Model: m\r\nToken-Usage: 800,140\r\nPrompt-Prefix: aa:200,bb" + request.id + ":600\r\n" : "")
+            + request.id + "\r\nDeadline-Ms: " + request.deadline + "\r\nAuthorization: Bearer " + key + "\r\n"
+            + (isStream ? "Model: m\r\nToken-Usage: " + prompt + "," + output + "\r\nPrompt-Prefix: aa:200,bb" + request.id + ":" + (prompt - 200) + "\r\n" : "")
             + (isGet ? "" : "Content-Length: " + body.length() + "\r\n") + "\r\n" + body;
         record.add("sent " + request.id + " " + request.route + " to " + router.getHostString());
         long sentAt = System.nanoTime();
@@ -62,7 +68,11 @@
             InputStream input = new BufferedInputStream(socket.getInputStream());
             closeAtDeadline(socket, request.deadline);
             Http.Head head = Http.readHead(input);
-            byte[] answer = head == null ? null : Http.readBody(input, head);
+            java.io.ByteArrayOutputStream received = new java.io.ByteArrayOutputStream();
+            byte[] answer = head == null ? null : Http.readBody(input, head, received);
+            if (isStream && head != null && head.status() == 200) {
+                request.events = received.toString(StandardCharsets.US_ASCII).split("\n\n", -1).length - 1;
+            }
             double after = (System.nanoTime() - sentAt) / 1e6;
             if (after < request.deadline) {
                 request.end = head == null ? "closed" : head.status() + (answer == null ? " cut" : " whole");
--- a/review/src/EndlessBody.java
+++ b/review/src/EndlessBody.java
@@ -14,7 +14,7 @@
         boolean isTrouble = !"0".equals(System.getenv("TROUBLE"));
         int exit = 2;
         Record record = new Record();
-        try (Fleet fleet = new Fleet(record, 3, 4, 3)) {
+        try (Fleet fleet = new Fleet(record, Fleet.plan(7, Fleet.tenant("studio", Fleet.KEY, 100_000_000)), 3, 4, 3)) {
             exit = play(fleet, record, isTrouble) ? 1 : 0;
         } catch (Exception failure) {
             record.say("could not run: " + failure);
--- a/review/src/Fleet.java
+++ b/review/src/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -27,9 +28,12 @@
     private final Path folder;
     private final String storeHost = "127.0.0.1";
 
+    /** A part of the loopback network that no other run uses at the time. */
+    private final String network;
+
     /** The routes, limits and services are like those of the small sites; times in milliseconds. */
-    static String plan() {
-        return "{\"version\":7,\"routes\":["
+    static String plan(int version, String tenants) {
+        return "{\"version\":" + version + ",\"routes\":["
             + route("chat", "/chat/", "stream", 10_000, 300, "pool", 2, ",\"stream_resume\":true,\"gap_aim_ms\":300")
             + "," + route("review", "/review/", "stream", 12_000, 600, "pool", 1, ",\"stream_resume\":false,\"gap_aim_ms\":300")
             + "," + route("order", "/order/", "unsafe", 800, 300, "desk", 1, "")
@@ -39,7 +43,11 @@
             + "{\"name\":\"desk\",\"health_path\":\"/healthz\",\"max_connections\":110}],"
             + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,"
             + "\"idle_timeout_ms\":15000},"
-            + "\"tenants\":[{\"name\":\"studio\",\"api_keys\":[\"" + KEY + "\"],\"priority\":1,\"prepaid\":100000000}]}";
+            + "\"tenants\":[" + tenants + "]}";
+    }
+
+    static String tenant(String name, String key, long prepaid) {
+        return "{\"name\":\"" + name + "\",\"api_keys\":[\"" + key + "\"],\"priority\":1,\"prepaid\":" + prepaid + "}";
     }
 
     private static String route(
@@ -49,11 +57,12 @@
             + "\",\"max_attempts\":" + attempts + ",\"public\":false,\"session_affinity\":true" + more + "}";
     }
 
-    Fleet(Record record, int routerCount, int poolWorkers, int deskWorkers) throws Exception {
+    Fleet(Record record, String plan, int routerCount, int poolWorkers, int deskWorkers) throws Exception {
         this.record = record;
         folder = Files.createTempDirectory("heatherwind-review");
         store = new StoreStandIn(storeHost);
-        store.put("keyed.op", "config", plan());
+        network = freeNetwork();
+        store.put("keyed.op", "config", plan);
         for (int i = 1; i <= poolWorkers; i++) add(new WorkerStandIn("127.0.0.1", "pool-" + i, "pool", 64, 20, record));
         for (int i = 1; i <= deskWorkers; i++) add(new WorkerStandIn("127.0.0.1", "desk-" + i, "desk", 6, 0, record));
         List<Integer> readiness = new ArrayList<>();
@@ -67,7 +76,7 @@
     }
 
     private void startRouter(int number, List<Integer> readiness) throws Exception {
-        String host = "127.0.0." + (10 + number);
+        String host = network + (10 + number);
         int front = freePort(host);
         int ready = freePort(host);
         int internal = freePort(host);
@@ -93,6 +102,20 @@
         return List.of(run.group(1).split(" "));
     }
 
+    /** The routers' metrics port is fixed by the deploy file, so each run takes other addresses. */
+    private static String freeNetwork() throws IOException {
+        Random random = new Random();
+        for (int tries = 0; tries < 100; tries++) {
+            String found = "127." + (1 + random.nextInt(250)) + "." + (1 + random.nextInt(250)) + ".";
+            try (ServerSocket socket = new ServerSocket(9464, 1, InetAddress.getByName(found + "11"))) {
+                return found;
+            } catch (IOException used) {
+                // Another run has this one.
+            }
+        }
+        throw new IOException("no free part of the loopback network");
+    }
+
     private static int freePort(String host) throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
             return socket.getLocalPort();
--- a/review/src/Http.java
+++ b/review/src/Http.java
@@ -46,8 +46,12 @@
 
     /** Reads a body with a length or in chunks. Returns null if it ends early. */
     static byte[] readBody(InputStream input, Head head) throws IOException {
+        return readBody(input, head, new ByteArrayOutputStream());
+    }
+
+    /** Does the same, and adds what arrives of a body in chunks to [body], also if it ends early. */
+    static byte[] readBody(InputStream input, Head head, ByteArrayOutputStream body) throws IOException {
         if ("chunked".equalsIgnoreCase(head.header("Transfer-Encoding"))) {
-            ByteArrayOutputStream body = new ByteArrayOutputStream();
             while (true) {
                 String line = readLine(input);
                 if (line == null) return null;
@@ -59,8 +63,8 @@
             }
         }
         int length = Integer.parseInt(head.headers().getOrDefault("content-length", "0"));
-        byte[] body = input.readNBytes(length);
-        return body.length < length ? null : body;
+        byte[] plain = input.readNBytes(length);
+        return plain.length < length ? null : plain;
     }
 
     private Http() {}
--- a/review/src/StoreStandIn.java
+++ b/review/src/StoreStandIn.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
+import java.util.function.LongSupplier;
 
 /** A sound store of the platform, as PROTOCOL.md describes it: keyed topics, conditional appends, fenced producers. */
 final class StoreStandIn implements AutoCloseable {
@@ -33,6 +34,9 @@
     private final Map<String, Partition> partitions = new HashMap<>();
     private final HttpServer server;
 
+    /** How many milliseconds the next answer is late. */
+    volatile LongSupplier lateness = () -> 0;
+
     StoreStandIn(String host) throws IOException {
         server = HttpServer.create(new InetSocketAddress(host, 0), 256);
         server.setExecutor(Executors.newCachedThreadPool(task -> {
@@ -74,7 +78,15 @@
         return fields;
     }
 
-    private static void send(HttpExchange exchange, Answer answer) throws IOException {
+    private void send(HttpExchange exchange, Answer answer) throws IOException {
+        long delay = lateness.getAsLong();
+        if (delay > 0) {
+            try {
+                Thread.sleep(delay);
+            } catch (InterruptedException stopped) {
+                return;
+            }
+        }
         exchange.sendResponseHeaders(answer.status(), answer.body().length == 0 ? -1 : answer.body().length);
         exchange.getResponseBody().write(answer.body());
         exchange.close();
