--- a/review/src/Fleet.java
+++ b/review/src/Fleet.java
@@ -65,6 +65,8 @@
         store.put("keyed.op", "config", plan);
         for (int i = 1; i <= poolWorkers; i++) add(new WorkerStandIn("127.0.0.1", "pool-" + i, "pool", 64, 20, record));
         for (int i = 1; i <= deskWorkers; i++) add(new WorkerStandIn("127.0.0.1", "desk-" + i, "desk", 6, 0, record));
+        // Nothing that was started outlives this process, however it ends.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.forEach(Process::destroyForcibly)));
         List<Integer> readiness = new ArrayList<>();
         for (int i = 1; i <= routerCount; i++) startRouter(i, readiness);
         for (int i = 0; i < routerCount; i++) awaitReady(routers.get(i).getHostString(), readiness.get(i));
