--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.."
-[ -f target/heatherwind.jar ] && [ -f target/review/LedgerRace.class ] || { echo "build first"; exit 2; }
-exec timeout -k 5 118 java -Xmx256m -Dsun.net.httpserver.nodelay=true -cp target/review LedgerRace review/3/record.txt
+[ -f target/heatherwind.jar ] && [ -f target/review/EndlessBody.class ] || { echo "build first"; exit 2; }
+exec timeout -k 5 110 java -Xmx256m -Dsun.net.httpserver.nodelay=true -cp target/review EndlessBody review/3/record.txt
