Record what a target sends, and how long the event loop is blocked

Cause: neither logs nor metrics told a target that sends bytes without end from one that is slow, nor a blocked event loop from a slow target.

Change: the line at the end of an attempt states the bytes and parts received and the events forwarded; counters sum them up by service.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -72,6 +72,7 @@
 import org.heatherwind.gateway.store.RecordStore
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.telemetry.DecisionLog
+import org.heatherwind.gateway.telemetry.EventLoopDelay
 import org.heatherwind.gateway.telemetry.GatewayMetrics
 import org.heatherwind.gateway.telemetry.loggingFailures
 
@@ -98,6 +99,7 @@
         log.process("A task failed.", "failure" to failure.stackTraceToString())
     }
     private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher() + exceptionHandler)
+    private val eventLoopDelay = EventLoopDelay(log)
     private val state = FleetState()
     private val stopped = CompletableDeferred<Unit>()
     private val client = TargetClient(eventLoop, clock)
@@ -314,7 +316,9 @@
 
     private suspend fun runMaintenance() {
         while (currentCoroutineContext().isActive) {
+            eventLoopDelay.schedule(clock.now().plusMilliseconds(MAINTENANCE_INTERVAL_MILLISECONDS))
             delay(MAINTENANCE_INTERVAL_MILLISECONDS)
+            eventLoopDelay.run(clock.now())
             log.loggingFailures("maintenance") {
                 budgets.rebalance()
                 client.closeUnused()
@@ -363,6 +367,9 @@
         metrics.gauge("heatherwind_blocked_suspects", "Prompt parts and requests that are refused for crashes.") {
             crashes.blockedCount.toDouble()
         }
+        metrics.gauge("heatherwind_event_loop_delay_seconds", "Longest delay of a periodic task since the start.") {
+            eventLoopDelay.longestMilliseconds / MILLISECONDS_PER_SECOND
+        }
         metrics.gauge("heatherwind_request_body_bytes", "Bytes of request bodies held.") {
             bodyMemory.heldBytes.toDouble()
         }
@@ -371,6 +378,7 @@
     private companion object {
         const val OK = 200
         const val UNAVAILABLE = 503
+        const val MILLISECONDS_PER_SECOND = 1_000.0
         const val BYTES_PER_MEGABYTE = 1_048_576L
 
         /** Request bodies may use one eighth of the process's memory. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -57,6 +57,14 @@
     /** Whether the peer ended the connection, as opposed to a reset or to a close by this process. */
     private var isEndedByPeer = false
 
+    /** Bytes received in response to the current request, with heads and framing. */
+    var receivedBytes = 0L
+        private set
+
+    /** Parts of responses received for the current request. */
+    var receivedParts = 0L
+        private set
+
     /** Requests sent on the connection. */
     var requestCount = 0
         private set
@@ -102,6 +110,8 @@
         isBusy = true
         isRequestWritten = false
         requestCount++
+        receivedBytes = 0
+        receivedParts = 0
         decoder?.requestMethod = method
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -176,6 +186,7 @@
     private inner class RawReader : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             if (isBusy) {
+                if (message is ByteBuf) receivedBytes += message.readableBytes()
                 context.fireChannelRead(message)
             } else {
                 ReferenceCountUtil.release(message)
@@ -232,6 +243,7 @@
         }
 
         private fun offer(part: ResponsePart) {
+            receivedParts++
             if (parts.trySend(part).isFailure && part is ResponsePart.Body) part.content.release()
         }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -67,6 +67,12 @@
     /** Whether another target may take the request over from this attempt. */
     private var isReplaceable = false
 
+    private var forwardedEvents = 0L
+
+    /** What this attempt has received so far. */
+    val received: ReceivedCounts
+        get() = ReceivedCounts(connection?.receivedBytes ?: 0, connection?.receivedParts ?: 0, forwardedEvents)
+
     /** Connects to the target. Returns null if that succeeded, or the result. */
     suspend fun connect(): AttemptResult? = ending {
         val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
@@ -339,6 +345,7 @@
             }
             if (!progress.callerResponse.hasStarted) startEvents(response)
             progress.recordEvent(event.id)
+            forwardedEvents++
             observation?.recordEvent()
             progress.callerResponse.write(event.bytes)
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -183,7 +183,8 @@
 
     /** Records the [result] of [attempt]. Returns whether the request is complete. */
     private fun recordResult(attempt: TargetAttempt, result: AttemptResult): Boolean {
-        logResult(attempt.placement, result)
+        logResult(attempt, result)
+        context.metrics.countReceived(service.value, attempt.received)
         if (result !is AttemptResult.NotSent) sentAttempts++
         when (result) {
             is AttemptResult.Delivered -> {
@@ -225,13 +226,16 @@
         "planVersion" to context.state.routes?.plan?.version,
     )
 
-    private fun logResult(placement: Placement, result: AttemptResult): Unit = context.log.request(
+    private fun logResult(attempt: TargetAttempt, result: AttemptResult): Unit = context.log.request(
         work.id,
         "Attempt on a target ended.",
-        "target" to placement.target.entry.id.value,
+        "target" to attempt.placement.target.entry.id.value,
         "result" to result.describe(),
         "send" to countedAttempts,
         "ageMilliseconds" to context.clock.now().millisecondsSince(work.receivedAt),
+        "receivedBytes" to attempt.received.bytes,
+        "receivedParts" to attempt.received.parts,
+        "forwardedEvents" to attempt.received.forwardedEvents,
     )
 
     private companion object {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -7,6 +7,7 @@
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import org.heatherwind.core.result.ResultCode
+import org.heatherwind.gateway.serve.ReceivedCounts
 import org.heatherwind.gateway.serve.RequestStage
 import java.io.ByteArrayOutputStream
 
@@ -33,6 +34,13 @@
     private val rolloutShare = Gauge.builder().name("heatherwind_rollout_share")
         .help("Share of a service's requests that this router sends to the version of a roll-out.")
         .labelNames("service").register(registry)
+    private val receivedBytes = Counter.builder().name("heatherwind_target_received_bytes_total")
+        .help("Bytes received from targets, with heads and framing, by service.")
+        .labelNames("service").register(registry)
+    private val receivedParts = Counter.builder().name("heatherwind_target_received_parts_total")
+        .help("Parts of responses received from targets, by service.").labelNames("service").register(registry)
+    private val forwardedEvents = Counter.builder().name("heatherwind_forwarded_events_total")
+        .help("Events forwarded from targets to callers, by service.").labelNames("service").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -71,6 +79,13 @@
         rolloutShare.labelValues(service).set(share)
     }
 
+    /** Counts what an attempt on a target of [service] received, and the events that it forwarded. */
+    internal fun countReceived(service: String, received: ReceivedCounts) {
+        receivedBytes.labelValues(service).inc(received.bytes.toDouble())
+        receivedParts.labelValues(service).inc(received.parts.toDouble())
+        forwardedEvents.labelValues(service).inc(received.forwardedEvents.toDouble())
+    }
+
     /** Counts a log line that was dropped. */
     public fun countDroppedLine() {
         droppedLines.inc()
