Take only blocks with data for events, and bound the events of a stream

Cause: EventSplitter took each empty line for an event. Each extended the progress deadline, was charged, and was written and flushed by itself, on the only event loop of the process, up to the request's deadline.

Change: as in the format of event streams, a block without a data line is no event; its bytes precede the next one and count towards the size above which a partial event is given up. More events than the requested output tokens end the attempt. The events of one read are forwarded in one write.

Evidence: EndlessStreamsTest failed in 11 of 12 cases before (orders answered 504, 15 MB relayed of an endless stream), EventSplitterTest in 120 of 280. Both pass now, and BrokenStreamsTest.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -46,7 +46,6 @@
         clock.now(),
     )
     private var isFirstEventRecorded = false
-    private val splitter = EventSplitter()
 
     /** When the response is overdue. Only valid parts of the answer extend it, other bytes do not. */
     private var progressDeadline = clock.now()
@@ -67,11 +66,16 @@
     /** Whether another target may take the request over from this attempt. */
     private var isReplaceable = false
 
-    private var forwardedEvents = 0L
+    /** Forwards the events of the response, or null if none has begun. */
+    private var events: EventForwarder? = null
 
     /** What this attempt has received so far. */
     val received: ReceivedCounts
-        get() = ReceivedCounts(connection?.receivedBytes ?: 0, connection?.receivedParts ?: 0, forwardedEvents)
+        get() = ReceivedCounts(
+            bytes = connection?.receivedBytes ?: 0,
+            parts = connection?.receivedParts ?: 0,
+            forwardedEvents = events?.forwardedEvents ?: 0,
+        )
 
     /** Connects to the target. Returns null if that succeeded, or the result. */
     suspend fun connect(): AttemptResult? = ending {
@@ -317,51 +321,47 @@
     }
 
     private suspend fun forwardEvents(connection: ClientConnection, response: HttpResponse): AttemptResult {
+        val forwarder = newForwarder(response).also { events = it }
         while (true) {
-            if (splitter.isOverflowing) return AttemptResult.Incomplete("an event without end")
             when (val part = nextPart(connection)) {
                 null -> return AttemptResult.Incomplete("no event before the progress deadline")
+
                 is ResponsePart.Failed -> return AttemptResult.Incomplete(part.reason, isConnectionLost = true)
+
                 is ResponsePart.Head -> return AttemptResult.Incomplete("second response head within a response")
-                ResponsePart.End -> return finishEvents(connection, response)
-                is ResponsePart.Body -> forwardCompleteEvents(response, part.content)
+
+                ResponsePart.End -> return finishEvents(connection, response, forwarder)
+
+                is ResponsePart.Body ->
+                    forwarder.forward(part.content)?.let { return AttemptResult.Incomplete(it) }
             }
         }
     }
 
-    private suspend fun forwardCompleteEvents(response: HttpResponse, content: ByteBuf) {
-        val events = try {
-            splitter.feed(content)
-        } finally {
-            content.release()
-        }
-        for (event in events) {
+    private fun newForwarder(response: HttpResponse) = EventForwarder(
+        progress = progress,
+        tokens = work.tokens,
+        startResponse = {
+            progress.callerResponse.start(response.status().code(), protocol.callerHeaders(response.headers()))
+        },
+        onEvents = {
             recordFirstEvent()
             extendProgress(hasStarted = true)
-            val last = progress.lastEventId
-            if (event.id != null && last != null && event.id <= last) {
-                event.bytes.release()
-                continue
-            }
-            if (!progress.callerResponse.hasStarted) startEvents(response)
-            progress.recordEvent(event.id)
-            forwardedEvents++
-            observation?.recordEvent()
-            progress.callerResponse.write(event.bytes)
-        }
-    }
-
-    private fun startEvents(response: HttpResponse): Unit =
-        progress.callerResponse.start(response.status().code(), protocol.callerHeaders(response.headers()))
+        },
+        onForwarded = { observation?.recordEvent() },
+    )
 
     /** Completes the caller's response, unless the stream ended within an event or, if unframed, before the first. */
-    private fun finishEvents(connection: ClientConnection, response: HttpResponse): AttemptResult {
-        if (splitter.remainder().isReadable) return AttemptResult.Incomplete("the stream ended within an event")
-        if (!isFirstEventRecorded && !connection.isResponseFramed) {
+    private suspend fun finishEvents(
+        connection: ClientConnection,
+        response: HttpResponse,
+        forwarder: EventForwarder,
+    ): AttemptResult {
+        if (forwarder.isWithinEvent) return AttemptResult.Incomplete("the stream ended within an event")
+        if (!forwarder.hasEvents && !connection.isResponseFramed) {
             return AttemptResult.Incomplete("the stream ended before its first event", isConnectionLost = true)
         }
-        if (!progress.callerResponse.hasStarted) startEvents(response)
-        progress.callerResponse.finish()
+        forwarder.finish()
         return AttemptResult.Delivered(response.status().code())
     }
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/serve/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/serve/EventSplitterTest.kt
@@ -31,6 +31,18 @@
             listOf("id: 1\ndata: a\n\n" to 1L),
             remainder = "id: 2\nda",
         ),
+        // The following guard against bytes that are no event and are forwarded and charged as one.
+        Case("line feeds alone", "\n\n\n", emptyList(), remainder = "\n\n\n"),
+        Case("CRLF alone", "\r\n\r\n", emptyList(), remainder = "\r\n\r\n"),
+        Case("a comment", ": ping\n\n", emptyList(), remainder = ": ping\n\n"),
+        Case("fields without data", "id: 4\nevent: x\n\n", emptyList(), remainder = "id: 4\nevent: x\n\n"),
+        Case("a field whose name begins with data", "data2: a\n\n", emptyList(), remainder = "data2: a\n\n"),
+        Case("data without a value", "data\n\n", listOf("data\n\n" to null)),
+        Case(
+            "line feeds and a comment before an event",
+            "\n\n: ping\n\nid: 1\ndata: a\n\n",
+            listOf("\n\n: ping\n\nid: 1\ndata: a\n\n" to 1L),
+        ),
         Case("an ID that is not a number", "id: x\ndata: a\n\n", listOf("id: x\ndata: a\n\n" to null)),
     )
 
