Scan each byte of a stream once, and make the chunks of a read one part

Cause: EventSplitter scanned an unfinished line from its start for each part, so the cost grew with the square of its length.

Change: the splitter keeps the position up to which it has scanned. The body bytes of a read are one part.

Evidence: before, a line of 20,000 bytes in parts of one byte cost 200,010,000 scanned bytes, and a read of 1,000 chunks was 1,000 parts; now 20,000 and one.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -201,6 +201,9 @@
     }
 
     private inner class ResponseReader : ChannelInboundHandlerAdapter() {
+        /** The body bytes of the current read, which are one part whatever the sizes of the chunks, or null. */
+        private var arrivedBody: ByteBuf? = null
+
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             if (message is HttpResponse) receiveHead(message)
             if (message is HttpContent) receiveContent(message)
@@ -226,12 +229,10 @@
             }
             val bytes = content.content()
             if (bytes.isReadable) {
-                bufferedBytes += bytes.readableBytes()
-                if (bufferedBytes > PAUSE_READING_BYTES) channel.config().isAutoRead = false
-                offer(ResponsePart.Body(bytes))
-            } else {
-                content.release()
+                val body = arrivedBody ?: Unpooled.buffer(bytes.readableBytes()).also { arrivedBody = it }
+                body.writeBytes(bytes)
             }
+            content.release()
             if (content is LastHttpContent) {
                 val isComplete = isResponseFramed || isEndedByPeer
                 offer(if (isComplete) ResponsePart.End else ResponsePart.Failed("connection failed within the body"))
@@ -242,7 +243,25 @@
             if (event === ChannelInputShutdownEvent.INSTANCE) context.close()
         }
 
+        override fun channelReadComplete(context: ChannelHandlerContext) {
+            offerBody()
+            context.fireChannelReadComplete()
+        }
+
+        private fun offerBody() {
+            val body = arrivedBody ?: return
+            arrivedBody = null
+            bufferedBytes += body.readableBytes()
+            if (bufferedBytes > PAUSE_READING_BYTES) channel.config().isAutoRead = false
+            enqueue(ResponsePart.Body(body))
+        }
+
         private fun offer(part: ResponsePart) {
+            offerBody()
+            enqueue(part)
+        }
+
+        private fun enqueue(part: ResponsePart) {
             receivedParts++
             if (parts.trySend(part).isFailure && part is ResponsePart.Body) part.content.release()
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/EventForwarder.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/EventForwarder.kt
@@ -49,7 +49,7 @@
             if (++receivedEvents > maximumEvents) break
             if (!isRepeated(event)) forwarded += event.bytes.also { recordForwarded(event) }
         }
-        if (forwarded.isNotEmpty()) progress.callerResponse.write(Unpooled.wrappedBuffer(*forwarded.toTypedArray()))
+        if (forwarded.isNotEmpty()) progress.callerResponse.write(joined(forwarded))
         return when {
             receivedEvents > maximumEvents -> "more events than requested tokens"
             splitter.isOverflowing -> "an event without end"
@@ -71,6 +71,9 @@
         onForwarded()
     }
 
+    private fun joined(buffers: List<ByteBuf>): ByteBuf =
+        buffers.singleOrNull() ?: Unpooled.compositeBuffer(buffers.size).addComponents(true, buffers)
+
     private fun isRepeated(event: StreamEvent): Boolean {
         val last = progress.lastEventId
         return event.id != null && last != null && event.id <= last
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/EventSplitter.kt
@@ -16,8 +16,11 @@
 internal class EventSplitter(private val maximumEventBytes: Int = MAXIMUM_EVENT_BYTES) {
     private val buffer = Unpooled.buffer()
 
-    /** Start of the first line in [buffer] that was not scanned completely. */
-    private var unscannedLineStart = 0
+    /** Start of the first line in [buffer] whose end has not arrived. */
+    private var lineStart = 0
+
+    /** Position in [buffer] up to which that line was scanned, so that no byte is scanned again. */
+    private var scannedTo = 0
 
     /** Whether the current block has a line with data. */
     private var hasData = false
@@ -25,11 +28,15 @@
     /** Whether the current block has a line other than comments. */
     private var hasField = false
 
+    /** Bytes that were scanned for ends of lines. */
+    var scannedBytes = 0L
+        private set
+
     /** Whether the partial event exceeds the maximum size, so that the stream is not one of events. */
     val isOverflowing: Boolean get() = buffer.readableBytes() > maximumEventBytes
 
     /** Whether a line or an event has begun that is not complete. */
-    val isWithinEvent: Boolean get() = hasField || unscannedLineStart < buffer.writerIndex()
+    val isWithinEvent: Boolean get() = hasField || lineStart < buffer.writerIndex()
 
     /** Adds [content], which it does not release, and returns the events that are now complete. */
     fun feed(content: ByteBuf): List<StreamEvent> {
@@ -40,7 +47,8 @@
             val bytes = Unpooled.buffer(length).writeBytes(buffer, length)
             events += StreamEvent(bytes, idOf(bytes))
         }
-        unscannedLineStart -= buffer.readerIndex()
+        lineStart -= buffer.readerIndex()
+        scannedTo -= buffer.readerIndex()
         buffer.discardReadBytes()
         return events
     }
@@ -50,11 +58,14 @@
 
     private fun firstEventLength(): Int? {
         while (true) {
-            val lineStart = unscannedLineStart
-            val lineEnd = buffer.indexOf(lineStart, buffer.writerIndex(), LINE_FEED)
+            val lineEnd = buffer.indexOf(scannedTo, buffer.writerIndex(), LINE_FEED)
+            val scanEnd = if (lineEnd < 0) buffer.writerIndex() else lineEnd + 1
+            scannedBytes += scanEnd - scannedTo
+            scannedTo = scanEnd
             if (lineEnd < 0) return null
-            unscannedLineStart = lineEnd + 1
-            if (endsEvent(lineStart, lineEnd)) return lineEnd + 1 - buffer.readerIndex()
+            val isEvent = endsEvent(lineStart, lineEnd)
+            lineStart = scanEnd
+            if (isEvent) return scanEnd - buffer.readerIndex()
         }
     }
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 
@@ -76,6 +77,27 @@
         }
     }
 
+    // Guards against an event loop that is blocked by a body in many small chunks, each of which was a part of its own.
+    @Test
+    fun `given a read with many chunks when they are received then they are one part`() {
+        runTest {
+            val channel = EmbeddedChannel(ResponseDecoder(HttpDecoderConfig()), HttpRequestEncoder())
+            val connection = ClientConnection(channel) { MonotonicTime(0) }
+            val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+            connection.send(HttpMethod.GET, "/", headers, ByteArray(0))
+            val chunks = "1\r\nx\r\n".repeat(CHUNKS)
+            channel.writeInbound(Unpooled.copiedBuffer("$CHUNKED_HEAD$chunks", Charsets.UTF_8))
+            channel.writeInbound(Unpooled.copiedBuffer("${chunks}0\r\n\r\n", Charsets.UTF_8))
+            assertIs<ResponsePart.Head>(connection.receive())
+            repeat(2) {
+                val body = assertIs<ResponsePart.Body>(connection.receive())
+                assertEquals("x".repeat(CHUNKS), body.content.toString(Charsets.UTF_8))
+            }
+            assertIs<ResponsePart.End>(connection.receive())
+            assertTrue(connection.finish())
+        }
+    }
+
     // Guards against a request that waits up to its deadline on a connection that was reset just after its start.
     @Test
     fun `given a connection that was reset before its first request when one is sent then it fails at once`() {
@@ -91,6 +113,8 @@
 
     private companion object {
         const val EARLY_HINTS = "HTTP/1.1 103 Early Hints\r\n\r\n"
+        const val CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        const val CHUNKS = 1_000
         const val DEADLINE = 100L
         const val RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
     }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/serve/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/serve/EventSplitterTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.random.Random
+import kotlin.test.Test
 import kotlin.test.assertEquals
 
 /** Given a stream of events, when it arrives in chunks of any size, then the same complete events are returned. */
@@ -46,6 +47,19 @@
         Case("an ID that is not a number", "id: x\ndata: a\n\n", listOf("id: x\ndata: a\n\n" to null)),
     )
 
+    // Guards against an event loop that is blocked because each part of a line scans the line from its start.
+    @Test
+    fun `given a line in many parts when it is fed then each byte is scanned once`() {
+        val splitter = EventSplitter()
+        val part = Unpooled.copiedBuffer("x", Charsets.UTF_8)
+        repeat(PARTS) { splitter.feed(part.duplicate()) }
+        assertEquals(PARTS.toLong(), splitter.scannedBytes)
+    }
+
+    private companion object {
+        const val PARTS = 20_000
+    }
+
     @TestFactory
     fun `complete events are returned`(): List<DynamicTest> = cases.flatMap { case ->
         (1..20).map { seed ->
