Keep one call to the store in flight for each partition of the ledger

Cause: the updates of all customers of a partition shared one copy of it, and called the store at the same time. Answers that overtook each other put back old allocations under a new offset, so an append passed its condition and overwrote the grant of another router.

Change: LedgerPartition has one call in flight. Updates that wait meanwhile are planned on the same copy and share the next append. An update states what it needs as a plan, which is made again after each read.

The other cases draw the same histories as before. Calls a second and refusals against a mutex were not measured.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
@@ -1,6 +1,5 @@
 package org.heatherwind.gateway.state
 
-import kotlinx.coroutines.delay
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.escrow.GrantPolicy
 import org.heatherwind.core.escrow.HolderCharge
@@ -24,52 +23,54 @@
     private val log: DecisionLog,
     private val customerOf: (CustomerId) -> Customer?,
 ) {
-    /**
-     * Sets the grant of [budget] to the size that the policy computes, including [neededTokens] of a waiting request.
-     * An append that conflicts with one of another router is retried after a new read.
-     */
+    /** Sets the grant of [budget] to what the policy computes, including [neededTokens] of a waiting request. */
     suspend fun update(budget: CustomerBudget, neededTokens: Long): GrantUpdateOutcome {
-        val ledger = budget.ledger
-        var isRefreshed = false
-        repeat(BudgetLedgers.MAXIMUM_ATTEMPTS) {
-            if (!ledger.isCurrent) {
-                isRefreshed = ledger.refresh()
-                budget.isLastReadSuccessful = isRefreshed
-                if (!isRefreshed) return GrantUpdateOutcome.FAILED
-            }
-            val allocation = ledger.allocationOf(budget.id)
-            val before = allocation.grantOf(self)
-            budget.holding.setGranted(minOf(before, budget.grantLimitTokens))
-            val after = desiredGrant(budget, allocation, neededTokens)
-            val isLimited = budget.grantLimitTokens < before
-            if (after == before && !isLimited) {
-                if (isRefreshed || !isReadDue(budget, neededTokens)) return GrantUpdateOutcome.INSUFFICIENT
-                ledger.invalidate()
-                return@repeat
+        var planned = PlannedGrant(0, 0, BudgetAllocation())
+        val update = budget.ledger.update { allocations, isFresh ->
+            if (isFresh) budget.isLastReadSuccessful = true
+            planned = plan(budget, allocations.of(budget.id), neededTokens)
+            val isLimited = budget.grantLimitTokens < planned.before
+            when {
+                planned.after != planned.before || isLimited -> LedgerPlan.Store(mapOf(budget.id to planned.allocation))
+                isFresh || !isReadDue(budget, neededTokens) -> LedgerPlan.Unchanged
+                else -> LedgerPlan.Read
             }
-            if (after < before) budget.holding.setGranted(after)
-            val updated = if (budget.isClosing) {
-                allocation.withClosedGrant(self, HolderCharge.exactly(budget.holding.committedTokens))
-            } else {
-                allocation.withGrant(self, after)
+        }
+        return when (update) {
+            LedgerUpdate.Stored -> {
+                budget.holding.setGranted(planned.after)
+                budget.grantLimitTokens = Long.MAX_VALUE
+                logUpdate(budget, planned)
+                GrantUpdateOutcome.UPDATED
             }
-            when (val append = ledger.append(mapOf(budget.id to updated))) {
-                is StreamAppend.Appended -> {
-                    budget.holding.setGranted(after)
-                    budget.grantLimitTokens = Long.MAX_VALUE
-                    logUpdate(budget, before, after, updated)
-                    return GrantUpdateOutcome.UPDATED
-                }
 
-                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(BudgetLedgers.conflictPauseMilliseconds())
+            LedgerUpdate.Unchanged -> GrantUpdateOutcome.INSUFFICIENT
 
-                is StreamAppend.Rejected, is StreamAppend.Unknown -> {
-                    if (append is StreamAppend.Unknown) limitUntilConfirmed(budget, minOf(before, after))
-                    return failUnconfirmed(budget, append)
+            LedgerUpdate.Unread -> GrantUpdateOutcome.FAILED.also { budget.isLastReadSuccessful = false }
+
+            LedgerUpdate.Conflicting -> GrantUpdateOutcome.FAILED
+
+            is LedgerUpdate.Unconfirmed -> {
+                if (update.append is StreamAppend.Unknown) {
+                    limitUntilConfirmed(budget, minOf(planned.before, planned.after))
                 }
+                failUnconfirmed(budget, update.append)
             }
         }
-        return GrantUpdateOutcome.FAILED
+    }
+
+    /** Plans the grant of [budget] in [allocation]; the usable grant is lowered at once where the plan lowers it. */
+    private fun plan(budget: CustomerBudget, allocation: BudgetAllocation, neededTokens: Long): PlannedGrant {
+        val before = allocation.grantOf(self)
+        budget.holding.setGranted(minOf(before, budget.grantLimitTokens))
+        val after = desiredGrant(budget, allocation, neededTokens)
+        if (after < before) budget.holding.setGranted(after)
+        val updated = if (budget.isClosing) {
+            allocation.withClosedGrant(self, HolderCharge.exactly(budget.holding.committedTokens))
+        } else {
+            allocation.withGrant(self, after)
+        }
+        return PlannedGrant(before, after, updated)
     }
 
     /**
@@ -117,16 +118,24 @@
         )
     }
 
-    private fun logUpdate(budget: CustomerBudget, before: Long, after: Long, allocation: BudgetAllocation): Unit =
-        log.stateChange(
-            "budget",
-            "Updated a grant.",
-            "customer" to budget.id.value,
-            "before" to before,
-            "after" to after,
-            "used" to budget.holding.usedTokens,
-            "allocated" to allocation.allocatedTokens,
-        )
+    private fun logUpdate(budget: CustomerBudget, stored: PlannedGrant): Unit = log.stateChange(
+        "budget",
+        "Updated a grant.",
+        "customer" to budget.id.value,
+        "before" to stored.before,
+        "after" to stored.after,
+        "used" to budget.holding.usedTokens,
+        "allocated" to stored.allocation.allocatedTokens,
+    )
+
+    /**
+     * A planned change of this router's grant.
+     *
+     * @property before the grant in tokens as of the allocation on which the plan is based
+     * @property after the planned grant in tokens
+     * @property allocation the planned allocation of the customer
+     */
+    private class PlannedGrant(val before: Long, val after: Long, val allocation: BudgetAllocation)
 
     private companion object {
         /** Twice the interval at which routers check for surplus grants to return. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -1,6 +1,9 @@
 package org.heatherwind.gateway.state
 
 import kotlinx.collections.immutable.toPersistentHashMap
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
@@ -15,20 +18,79 @@
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.store.StreamRead
 
-/** This router's copy of one partition of the budget ledger, refreshed before an update if it is outdated. */
+/**
+ * This router's copy of one partition of the budget ledger. One call to the store is in flight at a time, since the
+ * answers of several could overtake each other; updates that wait meanwhile share the next append. Confined to the
+ * event loop.
+ */
 internal class LedgerPartition(private val store: RecordStore, private val partition: StreamPartition) {
     private val allocations = HashMap<CustomerId, BudgetAllocation>()
     private var nextOffset: Long? = null
 
     /** Whether an update may be tried without a read. */
-    var isCurrent = false
-        private set
+    private var isCurrent = false
+
+    private val callInFlight = Mutex()
+    private val waiting = LinkedHashSet<PendingUpdate>()
 
     /** The allocation of [customer] as last read. */
     fun allocationOf(customer: CustomerId): BudgetAllocation = allocations[customer] ?: NO_ALLOCATION
 
+    /** Stores what [change] plans, on the condition that its last plan is based on the newest allocations. */
+    suspend fun update(change: LedgerChange): LedgerUpdate {
+        val update = PendingUpdate(change)
+        waiting += update
+        try {
+            callInFlight.withLock { if (update.outcome == null) complete(waiting.toList()) }
+            return checkNotNull(update.outcome) { "an update of $partition without an outcome" }
+        } finally {
+            waiting -= update
+        }
+    }
+
+    /** Gives each of [updates] an outcome. */
+    private suspend fun complete(updates: List<PendingUpdate>) {
+        var isFresh = false
+        repeat(BudgetLedgers.MAXIMUM_ATTEMPTS) {
+            if (!isCurrent) {
+                isFresh = refresh()
+                if (!isFresh) return updates.end(LedgerUpdate.Unread)
+            }
+            val planned = plan(updates, isFresh)
+            if (planned == null) {
+                isCurrent = false
+                return@repeat
+            }
+            if (planned.isEmpty()) return
+            when (val append = append(planned)) {
+                is StreamAppend.Appended -> return updates.end(LedgerUpdate.Stored)
+
+                is StreamAppend.Rejected, is StreamAppend.Unknown ->
+                    return updates.end(LedgerUpdate.Unconfirmed(append))
+
+                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(BudgetLedgers.conflictPauseMilliseconds())
+            }
+        }
+        updates.end(LedgerUpdate.Conflicting)
+    }
+
+    private fun List<PendingUpdate>.end(outcome: LedgerUpdate): Unit = forEach { it.outcome = it.outcome ?: outcome }
+
+    /** Returns the allocations that [updates] store together, or null if one of them requires a read before. */
+    private fun plan(updates: List<PendingUpdate>, isFresh: Boolean): Map<CustomerId, BudgetAllocation>? {
+        val planned = HashMap<CustomerId, BudgetAllocation>()
+        updates.filter { it.outcome == null }.forEach { update ->
+            when (val plan = update.change.plan(LedgerView(allocations, planned), isFresh)) {
+                is LedgerPlan.Store -> planned += plan.allocations
+                LedgerPlan.Unchanged -> update.outcome = LedgerUpdate.Unchanged
+                LedgerPlan.Read -> return null
+            }
+        }
+        return planned
+    }
+
     /** Reads the records added since the last read. Returns whether the copy is now current. */
-    suspend fun refresh(): Boolean {
+    private suspend fun refresh(): Boolean {
         val from = nextOffset.takeUnless { hasManyHolders() }
         val read = if (from == null) store.newest(partition) else store.read(partition, from)
         when (read) {
@@ -52,16 +114,8 @@
     private fun hasManyHolders(): Boolean =
         allocations.values.any { it.grants.size > MAXIMUM_HOLDERS_READ_INCREMENTALLY }
 
-    /** Marks the copy as outdated, so that the next update reads the partition first. */
-    fun invalidate() {
-        isCurrent = false
-    }
-
-    /** All allocations as last read. */
-    fun allAllocations(): Map<CustomerId, BudgetAllocation> = allocations.toMap()
-
     /** Appends [updated] on the condition that nothing was added to the partition since the last read. */
-    suspend fun append(updated: Map<CustomerId, BudgetAllocation>): StreamAppend {
+    private suspend fun append(updated: Map<CustomerId, BudgetAllocation>): StreamAppend {
         val expected = nextOffset ?: return StreamAppend.Conflict
         isCurrent = false
         val records = updated.map { (customer, allocation) -> NewRecord(customer.value, encode(allocation)) }
@@ -111,6 +165,11 @@
         val grants: Map<String, Long>,
     )
 
+    /** A [change] that waits for its [outcome]. */
+    private class PendingUpdate(val change: LedgerChange) {
+        var outcome: LedgerUpdate? = null
+    }
+
     private companion object {
         val NO_ALLOCATION = BudgetAllocation()
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorGrants.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorGrants.kt
@@ -8,7 +8,6 @@
 import org.heatherwind.core.escrow.HolderCharge
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
-import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.loggingFailures
 
@@ -34,31 +33,32 @@
     }
 
     private suspend fun close(ledger: LedgerPartition): Boolean {
-        repeat(BudgetLedgers.MAXIMUM_ATTEMPTS) {
-            if (!ledger.isCurrent && !ledger.refresh()) return false
-            val updated = ledger.allAllocations()
+        var closed = emptyMap<CustomerId, BudgetAllocation>()
+        val update = ledger.update { allocations, _ ->
+            closed = allocations.all()
                 .mapValues { (customer, before) -> withPredecessorsClosed(customer, before) }
-                .filter { (customer, after) -> after != ledger.allocationOf(customer) }
-            if (updated.isEmpty()) return true
-            when (val append = ledger.append(updated)) {
-                is StreamAppend.Appended -> {
-                    updated.forEach { (customer, allocation) -> logClosed(customer, allocation) }
-                    return true
-                }
+                .filter { (customer, after) -> after != allocations.of(customer) }
+            if (closed.isEmpty()) LedgerPlan.Unchanged else LedgerPlan.Store(closed)
+        }
+        return when (update) {
+            LedgerUpdate.Unchanged -> true
+
+            LedgerUpdate.Stored -> {
+                closed.forEach { (customer, allocation) -> logClosed(customer, allocation) }
+                true
+            }
 
-                is StreamAppend.Unknown, is StreamAppend.Rejected -> {
-                    log.stateChange(
-                        "budget",
-                        "The store did not confirm the closing of predecessors' grants.",
-                        "outcome" to append,
-                    )
-                    return false
-                }
+            LedgerUpdate.Unread, LedgerUpdate.Conflicting -> false
 
-                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(BudgetLedgers.conflictPauseMilliseconds())
+            is LedgerUpdate.Unconfirmed -> {
+                log.stateChange(
+                    "budget",
+                    "The store did not confirm the closing of predecessors' grants.",
+                    "outcome" to update.append,
+                )
+                false
             }
         }
-        return false
     }
 
     private fun withPredecessorsClosed(customer: CustomerId, allocation: BudgetAllocation): BudgetAllocation =
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
@@ -30,6 +30,8 @@
         val kills: Int,
         val minimumDeliveredShare: Double,
         val isKilledWhileDisconnected: Boolean = false,
+        val customers: Int = 1,
+        val maximumAnswerDelayMilliseconds: Long = 0,
     )
 
     private val cases = listOf(
@@ -63,6 +65,16 @@
             minimumDeliveredShare = 0.5,
             isKilledWhileDisconnected = true,
         ),
+        // Guards against grants that are overwritten because answers of the store overtook each other.
+        Case(
+            "several customers in a partition, and answers of the store that overtake each other",
+            faultProbability = 0.0,
+            isStoreDisconnected = false,
+            kills = 0,
+            minimumDeliveredShare = 0.9,
+            customers = 8,
+            maximumAnswerDelayMilliseconds = 240,
+        ),
         Case(
             "kills, disconnections and store faults together",
             faultProbability = 0.15,
@@ -83,11 +95,10 @@
     private suspend fun TestScope.runHistory(case: Case, seed: Int) {
         val random = Random(seed)
         val records = MemoryRecords()
-        val delivery = Delivery()
+        val prepaid = PREPAID / case.customers
+        val deliveries = List(case.customers) { customerOf("studio-$it", prepaid) }.associateWith { Delivery() }
         val faultScope = CoroutineScope(Job() + StandardTestDispatcher(testScheduler))
-        val routers = List(ROUTERS) { index ->
-            HistoryRouter("router-$index", this, records, delivery, Random(random.nextInt()), case.faultProbability)
-        }
+        val routers = List(ROUTERS) { newRouter("router-$it", case, records, deliveries, Random(random.nextInt())) }
         routers.forEach { historyRouter -> historyRouter.router.peers = (routers - historyRouter).map { it.router } }
         routers.forEach { it.start() }
         if (case.isStoreDisconnected) {
@@ -119,29 +130,48 @@
             routers.forEach { it.router.kill() }
             faultScope.cancel()
         }
-        val deliveredShare = delivery.tokens.toDouble() / PREPAID
-        assertTrue(delivery.tokens <= PREPAID, "seed $seed: ${delivery.tokens} of $PREPAID tokens delivered")
+        deliveries.forEach { (customer, delivery) ->
+            assertTrue(
+                delivery.tokens <= prepaid,
+                "seed $seed, ${customer.id}: ${delivery.tokens} of $prepaid tokens delivered",
+            )
+        }
+        val deliveredShare = deliveries.values.sumOf { it.tokens }.toDouble() / PREPAID
         assertTrue(
             deliveredShare >= case.minimumDeliveredShare,
             "seed $seed: only a share of $deliveredShare of the budget was delivered",
         )
     }
 
+    private fun TestScope.newRouter(
+        name: String,
+        case: Case,
+        records: MemoryRecords,
+        deliveries: Map<Customer, Delivery>,
+        random: Random,
+    ): HistoryRouter {
+        val router = BudgetRouter(
+            name,
+            this,
+            records,
+            deliveries.keys.toList(),
+            random,
+            case.faultProbability,
+            case.maximumAnswerDelayMilliseconds,
+        )
+        return HistoryRouter(router, deliveries, random)
+    }
+
     /** Tokens that were delivered to callers. */
     private class Delivery {
         var tokens = 0L
     }
 
     private class HistoryRouter(
-        name: String,
-        test: TestScope,
-        records: MemoryRecords,
-        private val delivery: Delivery,
+        val router: BudgetRouter,
+        private val deliveries: Map<Customer, Delivery>,
         private val random: Random,
-        faultProbability: Double,
     ) {
-        val router = BudgetRouter(name, test, records, customer, random, faultProbability)
-
         fun start() {
             val processScope = router.start() ?: return
             val budgets = router.budgets ?: return
@@ -156,6 +186,7 @@
         }
 
         private suspend fun sendRequest(budgets: BudgetManager) {
+            val (customer, delivery) = deliveries.entries.singleOrNull() ?: deliveries.entries.random(random)
             val prompt = random.nextLong(200, 6_000)
             val output = random.nextLong(50, 400)
             val deadline = router.clock.now().plusMilliseconds(1_500)
@@ -176,6 +207,8 @@
         const val ROUTERS = 4
         const val PREPAID = 3_000_000L
         const val HISTORY_MILLISECONDS = 60_000L
-        val customer = Customer(CustomerId("studio"), persistentListOf("key"), priority = null, prepaidTokens = PREPAID)
+
+        fun customerOf(id: String, prepaid: Long) =
+            Customer(CustomerId(id), persistentListOf("key-$id"), priority = null, prepaidTokens = prepaid)
     }
 }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetManagerTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetManagerTest.kt
@@ -72,8 +72,8 @@
             DynamicTest.dynamicTest(case.name) {
                 runTest {
                     val records = MemoryRecords()
-                    val first = BudgetRouter("router-1", this, records, customer, Random(1))
-                    val second = BudgetRouter("router-2", this, records, customer, Random(2))
+                    val first = BudgetRouter("router-1", this, records, listOf(customer), Random(1))
+                    val second = BudgetRouter("router-2", this, records, listOf(customer), Random(2))
                     first.peers = listOf(second)
                     second.peers = listOf(first)
                     first.start()
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
@@ -28,15 +28,16 @@
 import java.net.InetSocketAddress
 import kotlin.random.Random
 
-/** The budget components of a router for one customer, in virtual time. It can be killed and started again. */
+/** The budget components of a router for [customers], in virtual time. It can be killed and started again. */
 @OptIn(ExperimentalCoroutinesApi::class)
 internal class BudgetRouter(
     private val name: String,
     private val test: TestScope,
     private val records: MemoryRecords,
-    private val customer: Customer,
+    private val customers: List<Customer>,
     private val random: Random,
     private val faultProbability: Double = 0.0,
+    private val maximumAnswerDelayMilliseconds: Long = 0,
 ) {
     val clock = MonotonicClock { MonotonicTime(test.currentTime) }
     private var scope: CoroutineScope? = null
@@ -69,7 +70,7 @@
         val processScope = CoroutineScope(Job() + StandardTestDispatcher(test.testScheduler))
         val startedAt = wallClock()
         val self = Incarnation.of(InstanceId(name), startedAt)
-        val ownStore = MemoryRecordStore(records, random, test.backgroundScope, faultProbability)
+        val ownStore = newStore()
         ownStore.isDisconnected = isDisconnected
         val log = DecisionLog(clock, GatewayMetrics())
         val witnesses = PeerWitnesses()
@@ -89,17 +90,17 @@
         )
         val ledgers = BudgetLedgers(ownStore, PARTITIONS)
         val policy = GrantPolicy()
-        val fleetBudgets = FleetBudgetView(peerReports) { customer }
+        val fleetBudgets = FleetBudgetView(peerReports, ::customerOf)
         val manager = BudgetManager(
-            grants = GrantUpdater(self, fleetBudgets, peerReports, policy, clock, log) { customer },
+            grants = GrantUpdater(self, fleetBudgets, peerReports, policy, clock, log, ::customerOf),
             fleetBudgets = fleetBudgets,
             ledgers = ledgers,
             scope = processScope,
             clock = clock,
             log = log,
             policy = policy,
-            customers = { listOf(customer) },
-            customerOf = { customer },
+            customers = { customers },
+            customerOf = ::customerOf,
             reports = reports,
             peerReports = peerReports,
             quotaSource = { customer, neededTokens -> acquire(customer, neededTokens) },
@@ -122,6 +123,14 @@
         return processScope
     }
 
+    private fun newStore() = MemoryRecordStore(
+        records,
+        random,
+        test.backgroundScope,
+        faultProbability,
+        maximumAnswerDelayMilliseconds,
+    )
+
     private suspend fun runMaintenance(manager: BudgetManager) {
         while (true) {
             delay(REBALANCE_INTERVAL_MILLISECONDS)
@@ -150,6 +159,8 @@
             peers.firstOrNull { it.name == witness.address.substringBefore(':') }?.witness
     }
 
+    private fun customerOf(id: CustomerId): Customer? = customers.firstOrNull { it.id == id }
+
     private fun wallClock() = Timestamp(EPOCH + test.currentTime)
 
     private suspend fun acquire(customer: CustomerId, neededTokens: Long): Long {
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
@@ -48,14 +48,15 @@
 }
 
 /**
- * One router's client of the in-memory store, with seeded faults: rejected calls, lost responses, and appends that take
- * effect later.
+ * One router's client of the in-memory store, with seeded faults: rejected calls, lost responses, appends that take
+ * effect later, and answers that are up to [maximumAnswerDelayMilliseconds] late and overtake each other.
  */
 internal class MemoryRecordStore(
     private val records: MemoryRecords,
     private val random: Random,
     private val scope: CoroutineScope,
     private val faultProbability: Double,
+    private val maximumAnswerDelayMilliseconds: Long = 0,
 ) : RecordStore {
     /** Whether all calls fail because the connection to the store is interrupted. */
     var isDisconnected = false
@@ -65,7 +66,9 @@
         from: Long,
         waitMilliseconds: Long,
         maximumKilobytes: Int,
-    ): StreamRead {
+    ): StreamRead = readNow(partition, from).also { awaitAnswer() }
+
+    private suspend fun readNow(partition: StreamPartition, from: Long): StreamRead {
         delay(LATENCY_MILLISECONDS + random.nextLong(LATENCY_MILLISECONDS))
         awaitConnection()
         if (isDisconnected || random.nextDouble() < faultProbability) return unavailable()
@@ -78,7 +81,9 @@
         )
     }
 
-    override suspend fun newest(partition: StreamPartition): StreamRead {
+    override suspend fun newest(partition: StreamPartition): StreamRead = newestNow(partition).also { awaitAnswer() }
+
+    private suspend fun newestNow(partition: StreamPartition): StreamRead {
         delay(LATENCY_MILLISECONDS + random.nextLong(LATENCY_MILLISECONDS))
         awaitConnection()
         if (isDisconnected || random.nextDouble() < faultProbability) return unavailable()
@@ -95,6 +100,12 @@
         partition: StreamPartition,
         records: List<NewRecord>,
         condition: AppendCondition,
+    ): StreamAppend = appendNow(partition, records, condition).also { awaitAnswer() }
+
+    private suspend fun appendNow(
+        partition: StreamPartition,
+        records: List<NewRecord>,
+        condition: AppendCondition,
     ): StreamAppend {
         delay(LATENCY_MILLISECONDS + random.nextLong(LATENCY_MILLISECONDS))
         awaitConnection()
@@ -120,6 +131,10 @@
         }
     }
 
+    private suspend fun awaitAnswer() {
+        if (maximumAnswerDelayMilliseconds > 0) delay(random.nextLong(maximumAnswerDelayMilliseconds))
+    }
+
     /** A call in a partition hangs until the partition ends, when its bytes are sent again, or until its timeout. */
     private suspend fun awaitConnection() {
         repeat((TIMEOUT_MILLISECONDS / RETRANSMISSION_MILLISECONDS).toInt()) {
