Limit what the process holds of targets' responses

Callers saw, as another operator reports: a target that sends without end, in a head or a body, takes the requests of all others with it.

Cause: what targets send was limited for each request only (1 MiB of an error body, 256 KiB of a body or partial event, a head of 64 KiB that takes about ten times as much), and not at all in responses of the store and of routers.

Change: a limit for the process, of which small amounts are free; heads of 16 KiB; heads count when reading pauses; informational responses and responses to other requests without end end the attempt; 4 MiB for the store and routers. BodyMemory is now MemoryLimit, used for both directions.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -22,7 +22,6 @@
 import org.heatherwind.core.identity.WallClock
 import org.heatherwind.core.retry.RetryThrottleLimits
 import org.heatherwind.core.rollout.RolloutPolicy
-import org.heatherwind.gateway.caller.BodyMemory
 import org.heatherwind.gateway.caller.CallerContext
 import org.heatherwind.gateway.caller.CallerListener
 import org.heatherwind.gateway.crash.CrashEvidence
@@ -31,6 +30,7 @@
 import org.heatherwind.gateway.crash.CrashNotifier
 import org.heatherwind.gateway.crash.CrashProtection
 import org.heatherwind.gateway.crash.TargetCrashDetector
+import org.heatherwind.gateway.http.MemoryLimit
 import org.heatherwind.gateway.http.SimpleHttpClient
 import org.heatherwind.gateway.http.SimpleHttpListener
 import org.heatherwind.gateway.http.SimpleResponse
@@ -158,7 +158,8 @@
             windowMilliseconds = settings.retryWindowMilliseconds,
         ),
     ) { peerReports.liveCount() }
-    private val bodyMemory = BodyMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
+    private val bodyMemory = MemoryLimit(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
+    private val responseMemory = MemoryLimit(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR)
     private val ledgers = BudgetLedgers(store, settings.partitionsPerStream)
     private val customerOf = { id: CustomerId -> state.routes?.customerById(id) }
     private val fleetBudgets = FleetBudgetView(peerReports, customerOf)
@@ -200,6 +201,7 @@
                     log = log,
                     metrics = metrics,
                     crashes = crashes,
+                    responseMemory = responseMemory,
                     liveRouterCount = { peerReports.liveCount() },
                     stopDeadline = { stopDeadline },
                 ),
@@ -373,6 +375,9 @@
         metrics.gauge("heatherwind_request_body_bytes", "Bytes of request bodies held.") {
             bodyMemory.heldBytes.toDouble()
         }
+        metrics.gauge("heatherwind_response_buffer_bytes", "Bytes held for responses of targets.") {
+            responseMemory.heldBytes.toDouble()
+        }
     }
 
     private companion object {
@@ -384,6 +389,9 @@
         /** Request bodies may use one eighth of the process's memory. */
         const val BODY_MEMORY_DIVISOR = 8
 
+        /** Buffered responses of targets may use one eighth of the heap. */
+        const val RESPONSE_MEMORY_DIVISOR = 8
+
         /** A plan change must take effect within 2 s. Changes are rare, so each read waits for one. */
         val PLAN_POLLING = PollingPolicy(waitMilliseconds = 800, pauseMilliseconds = 100, isSkippingReplaced = true)
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerConnection.kt
@@ -20,6 +20,7 @@
 import org.heatherwind.core.fleet.CallerLimits
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
+import org.heatherwind.gateway.http.MemoryLimit
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
 
@@ -35,7 +36,7 @@
     val clock: MonotonicClock,
     val limits: () -> CallerLimits,
     val isDraining: () -> Boolean,
-    val bodyMemory: BodyMemory,
+    val bodyMemory: MemoryLimit,
     val handler: RequestHandler,
 )
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -44,7 +44,10 @@
 /** One connection to a target, a router or the store, for one request at a time. Confined to its event loop. */
 internal class ClientConnection(val channel: Channel, private val clock: MonotonicClock) {
     private val parts = Queue<ResponsePart>(Queue.UNLIMITED) { if (it is ResponsePart.Body) it.content.release() }
+
+    /** What the parts in [parts] take, with an allowance for heads. */
     private var bufferedBytes = 0
+    private var informationalResponses = 0
     private var isRequestWritten = true
 
     /** Null if the connection had ended before this was created. */
@@ -112,6 +115,7 @@
         requestCount++
         receivedBytes = 0
         receivedParts = 0
+        informationalResponses = 0
         decoder?.requestMethod = method
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -147,13 +151,17 @@
     fun receiveIfAvailable(): ResponsePart? = parts.tryReceive().getOrNull()?.let { received(it) }
 
     private fun received(part: ResponsePart): ResponsePart {
-        if (part is ResponsePart.Body) {
-            bufferedBytes -= part.content.readableBytes()
-            if (bufferedBytes < RESUME_READING_BYTES && !channel.config().isAutoRead) channel.config().isAutoRead = true
-        }
+        bufferedBytes -= heldBytesOf(part)
+        if (bufferedBytes < RESUME_READING_BYTES && !channel.config().isAutoRead) channel.config().isAutoRead = true
         return part
     }
 
+    private fun heldBytesOf(part: ResponsePart): Int = when (part) {
+        is ResponsePart.Body -> part.content.readableBytes()
+        is ResponsePart.Head -> HEAD_BYTES
+        ResponsePart.End, is ResponsePart.Failed -> 0
+    }
+
     /**
      * Marks the response as completely received. Returns whether the connection may carry another request: the request
      * was written completely, the response had a defined length and nothing follows it, and the connection stays open.
@@ -211,6 +219,10 @@
 
         private fun receiveHead(response: HttpResponse) {
             if (response.decoderResult().isFailure) return fail("malformed response head")
+            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                informationalResponses++
+                if (informationalResponses > MAXIMUM_INFORMATIONAL) return fail("informational responses without end")
+            }
             isResponseFramed = HttpUtil.isTransferEncodingChunked(response) ||
                 response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) ||
                 response.status().codeClass() == HttpStatusClass.INFORMATIONAL ||
@@ -251,8 +263,6 @@
         private fun offerBody() {
             val body = arrivedBody ?: return
             arrivedBody = null
-            bufferedBytes += body.readableBytes()
-            if (bufferedBytes > PAUSE_READING_BYTES) channel.config().isAutoRead = false
             enqueue(ResponsePart.Body(body))
         }
 
@@ -263,7 +273,13 @@
 
         private fun enqueue(part: ResponsePart) {
             receivedParts++
-            if (parts.trySend(part).isFailure && part is ResponsePart.Body) part.content.release()
+            val held = heldBytesOf(part)
+            if (parts.trySend(part).isSuccess) {
+                bufferedBytes += held
+                if (bufferedBytes > PAUSE_READING_BYTES) channel.config().isAutoRead = false
+            } else if (part is ResponsePart.Body) {
+                part.content.release()
+            }
         }
 
         private fun fail(reason: String) {
@@ -294,6 +310,12 @@
         /** Subtracted from the peer's timeout, so that a request arrives before the peer closes the connection. */
         const val IDLE_MARGIN_MILLISECONDS = 300L
 
+        /** Allowance for a decoded head, most of which are short. */
+        const val HEAD_BYTES = 1_024
+
+        /** A server sends one or two before the final response. */
+        const val MAXIMUM_INFORMATIONAL = 32
+
         /** Reading stops above this number of buffered bytes, which holds a few events of the largest size. */
         const val PAUSE_READING_BYTES = 65_536
         const val RESUME_READING_BYTES = 16_384
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
@@ -104,7 +104,8 @@
     private fun decoderConfig() = HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
 
     private companion object {
-        const val MAXIMUM_HEADER_BYTES = 65_536
+        /** A head takes about ten times its size in memory while it is decoded. */
+        const val MAXIMUM_HEADER_BYTES = 16_384
 
         /** More concurrent requests to one address are rare. */
         const val MAXIMUM_IDLE_PER_ADDRESS = 16
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/BodyMemory.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/MemoryLimit.kt
@@ -1,7 +1,7 @@
-package org.heatherwind.gateway.caller
+package org.heatherwind.gateway.http
 
-/** Limits the bytes of request bodies that the process holds. Confined to one thread. */
-internal class BodyMemory(private val maximumBytes: Long) {
+/** Limits the bytes that the process holds for one purpose. Confined to one thread. */
+internal class MemoryLimit(private val maximumBytes: Long) {
     /** Bytes currently held. */
     var heldBytes = 0L
         private set
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/SimpleHttpClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/SimpleHttpClient.kt
@@ -63,6 +63,7 @@
                 is ResponsePart.Body -> {
                     part.content.readBytes(body, part.content.readableBytes())
                     part.content.release()
+                    if (body.size() > MAXIMUM_RESPONSE_BYTES) return CallResult.NoResponse("a response without end")
                 }
 
                 ResponsePart.End -> return CallResult.Responded(status, body.toByteArray())
@@ -73,6 +74,9 @@
     }
 
     private companion object {
+        /** Several times the largest page of the store. */
+        const val MAXIMUM_RESPONSE_BYTES = 4_194_304
+
         /** Calls are made every few hundred milliseconds; a connection that was idle for longer may be stale. */
         const val MAXIMUM_IDLE_MILLISECONDS = 4_000L
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
@@ -3,6 +3,7 @@
 import org.heatherwind.gateway.caller.CallerResponseWriter
 import org.heatherwind.gateway.crash.RequestKeys
 import org.heatherwind.gateway.http.ClientConnection
+import org.heatherwind.gateway.http.MemoryShare
 
 /** How far a request got. */
 internal enum class RequestStage {
@@ -69,6 +70,10 @@
 
     /** The last complete error response of a target, or null. */
     var lastFailure: AttemptResult.Failed? = null
+        private set
+
+    /** What is held for [lastFailure]. */
+    private var failureMemory: MemoryShare? = null
 
     /** Connections on which the request was sent; a copy of an earlier response may still arrive on them. */
     val connections: MutableSet<ClientConnection> = HashSet()
@@ -76,6 +81,20 @@
     /** Charges events to the customer, or null where nothing is charged. */
     var meter: TokenMeter? = null
 
+    /** Keeps the error response [failure], for which [memory] is held, in place of an earlier one. */
+    fun keepFailure(failure: AttemptResult.Failed, memory: MemoryShare) {
+        releaseFailure()
+        lastFailure = failure
+        failureMemory = memory
+    }
+
+    /** Releases what is held for the last error response. */
+    fun releaseFailure() {
+        lastFailure = null
+        failureMemory?.release()
+        failureMemory = null
+    }
+
     /** Sends the last error response of a target, unless an answer has started. Returns whether one was sent. */
     fun deliverFailure(): Boolean {
         val failure = lastFailure
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/EventForwarder.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/EventForwarder.kt
@@ -3,11 +3,13 @@
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import org.heatherwind.core.work.TokenDemand
+import org.heatherwind.gateway.http.MemoryShare
 
 /**
  * Forwards the events of one target's response to the caller, in one write for all events that arrive together.
  *
  * @param tokens the size of the generation, which limits the number of its events, or null if it is unknown
+ * @param memory holds what is buffered of a partial event
  * @param startResponse starts the caller's response; called before the first event of the request
  * @param onEvents called when complete events have arrived
  * @param onForwarded called for each event that is forwarded
@@ -15,6 +17,7 @@
 internal class EventForwarder(
     private val progress: DeliveryProgress,
     tokens: TokenDemand?,
+    private val memory: MemoryShare,
     private val startResponse: () -> Unit,
     private val onEvents: () -> Unit,
     private val onForwarded: () -> Unit,
@@ -53,6 +56,7 @@
         return when {
             receivedEvents > maximumEvents -> "more events than requested tokens"
             splitter.isOverflowing -> "an event without end"
+            !memory.tryHold(splitter.remainder().readableBytes()) -> "a partial event too large to keep"
             else -> null
         }
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -15,6 +15,7 @@
 import org.heatherwind.gateway.caller.RouterStoppingException
 import org.heatherwind.gateway.crash.CrashProtection
 import org.heatherwind.gateway.crash.RequestKeys
+import org.heatherwind.gateway.http.MemoryLimit
 import org.heatherwind.gateway.peer.PlacementAnnouncements
 import org.heatherwind.gateway.protocol.CallerProtocol
 import org.heatherwind.gateway.rollout.RolloutManager
@@ -28,6 +29,7 @@
 /**
  * The dependencies of serving a request.
  *
+ * @property responseMemory limits the bytes that are held for responses of targets
  * @property liveRouterCount returns the number of live routers
  * @property stopDeadline returns when the requests in progress are ended, or null while the router takes new ones
  */
@@ -43,6 +45,7 @@
     val log: DecisionLog,
     val metrics: GatewayMetrics,
     val crashes: CrashProtection,
+    val responseMemory: MemoryLimit,
     val liveRouterCount: () -> Int,
     val stopDeadline: () -> MonotonicTime? = { null },
     val responseTimeouts: ResponseTimeoutPolicy = ResponseTimeoutPolicy(),
@@ -63,6 +66,8 @@
         } catch (@Suppress("TooGenericExceptionCaught") failure: Throwable) {
             // Whatever fails, a request that was read gets an answer.
             endWithFailure(request, progress, planVersion, failure)
+        } finally {
+            progress.releaseFailure()
         }
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -11,6 +11,7 @@
 import org.heatherwind.core.work.WorkRequest
 import org.heatherwind.gateway.caller.ReceivedRequest
 import org.heatherwind.gateway.http.ClientConnection
+import org.heatherwind.gateway.http.MemoryShare
 import org.heatherwind.gateway.http.ResponsePart
 import org.heatherwind.gateway.protocol.CallerProtocol
 import org.heatherwind.gateway.protocol.TargetInstruction
@@ -21,6 +22,7 @@
 /**
  * One attempt of a request on one target: [connect], [send], then [forward].
  *
+ * @param memory holds what is buffered of the response
  * @param observation observes the attempt during a roll-out, or null
  * @param takeOver called when the response is overdue; returns whether another target has taken the request over, and
  * this attempt is to end
@@ -35,6 +37,7 @@
     private val client: TargetClient,
     private val clock: MonotonicClock,
     private val responseTimeouts: ResponseTimeoutPolicy,
+    private val memory: MemoryShare,
     private val observation: AttemptObservation?,
     private val takeOver: suspend (TargetAttempt) -> Boolean,
 ) {
@@ -51,6 +54,9 @@
     private var progressDeadline = clock.now()
     private var isOverdueRecorded = false
 
+    /** Responses that belong to other requests. */
+    private var otherResponses = 0
+
     private var connection: ClientConnection? = null
     private var isEnded = false
 
@@ -156,6 +162,7 @@
         if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) progress.recordNotRun()
         if (result == null) observation?.abandon() else observation?.end(result)
         target.recordEnded(inFlight)
+        if (result is AttemptResult.Failed) progress.keepFailure(result, memory) else memory.release()
         val isComplete = result != null && result !is AttemptResult.Incomplete
         connection?.let { client.release(target, it, isComplete) }
     }
@@ -215,7 +222,10 @@
         if (head.status < FIRST_FINAL_STATUS) return null
         if (head.requestId != work.id) {
             connection.isClosing = true
+            otherResponses++
             return when {
+                otherResponses > MAXIMUM_OTHER_RESPONSES -> AttemptResult.Incomplete("responses to other requests")
+
                 head.requestId != null -> null
 
                 // A copy of an earlier refusal may arrive on a connection that carried other requests.
@@ -263,16 +273,18 @@
                 is ResponsePart.Body -> {
                     part.content.readBytes(body, part.content.readableBytes())
                     part.content.release()
-                    if (body.size() > MAXIMUM_ERROR_BODY_BYTES) return withoutEnd(response)
+                    if (body.size() > MAXIMUM_ERROR_BODY_BYTES || !memory.tryHold(body.size())) {
+                        return withoutEnd(response)
+                    }
                 }
             }
         }
     }
 
-    /** Returns the result of an error response whose body does not end; "not run" holds without the body. */
+    /** Returns the result of an error response whose body is not read to its end; "not run" holds without it. */
     private fun withoutEnd(response: HttpResponse): AttemptResult {
         val head = protocol.readResponse(response)
-        return if (head.isNotRun) notRun(head) else AttemptResult.Incomplete("an error response without end")
+        return if (head.isNotRun) notRun(head) else AttemptResult.Incomplete("an error response too large to keep")
     }
 
     /** Buffers a short body until it is complete, so that a failure can be retried; forwards a long one as received. */
@@ -304,7 +316,10 @@
         if (progress.callerResponse.hasStarted) return progress.callerResponse.write(content)
         content.readBytes(body, content.readableBytes())
         content.release()
-        if (body.size() > MAXIMUM_BUFFERED_BODY_BYTES) startBody(response.status().code(), response, body)
+        if (body.size() > MAXIMUM_BUFFERED_BODY_BYTES || !memory.tryHold(body.size())) {
+            startBody(response.status().code(), response, body)
+            memory.release()
+        }
     }
 
     private suspend fun startBody(status: Int, response: HttpResponse, body: ByteArrayOutputStream) {
@@ -341,6 +356,7 @@
     private fun newForwarder(response: HttpResponse) = EventForwarder(
         progress = progress,
         tokens = work.tokens,
+        memory = memory,
         startResponse = {
             progress.callerResponse.start(response.status().code(), protocol.callerHeaders(response.headers()))
         },
@@ -393,6 +409,9 @@
         const val FIRST_FINAL_STATUS = 200
         val SUCCESS_STATUSES = 200..299
 
+        /** Late copies of a few responses may precede the one that is expected. */
+        const val MAXIMUM_OTHER_RESPONSES = 8
+
         /** Longer bodies of error responses are taken for bytes without end. */
         const val MAXIMUM_ERROR_BODY_BYTES = 1_048_576
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -11,6 +11,7 @@
 import org.heatherwind.core.work.Repeatability
 import org.heatherwind.core.work.WorkRequest
 import org.heatherwind.gateway.caller.ReceivedRequest
+import org.heatherwind.gateway.http.MemoryShare
 
 /** The consecutive attempts of one request on targets of one service. */
 internal class TargetAttempts(
@@ -176,6 +177,7 @@
             client = context.client,
             clock = context.clock,
             responseTimeouts = context.responseTimeouts,
+            memory = MemoryShare(context.responseMemory),
             observation = context.rollouts.observe(service, work.route.name, placement),
             takeOver = ::takeOver,
         )
@@ -201,7 +203,6 @@
 
             is AttemptResult.Failed -> {
                 countedAttempts++
-                progress.lastFailure = result
                 error = RouterError(ResultCode.TARGET_FAILED)
             }
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/caller/CallerConnectionTest.kt
@@ -18,6 +18,7 @@
 import org.heatherwind.core.fleet.CallerLimits
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
+import org.heatherwind.gateway.http.MemoryLimit
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import java.util.concurrent.Executor
@@ -51,7 +52,7 @@
                     clock = MonotonicClock { now },
                     limits = { CallerLimits() },
                     isDraining = { true },
-                    bodyMemory = BodyMemory(1_000_000),
+                    bodyMemory = MemoryLimit(1_000_000),
                     handler = { _, _ -> awaitCancellation() },
                 )
                 val connection = CallerConnection(shared)
@@ -133,7 +134,7 @@
                 clock = { now },
                 limits = { limits },
                 isDraining = { false },
-                bodyMemory = BodyMemory(1_000_000),
+                bodyMemory = MemoryLimit(1_000_000),
                 handler = { _, _ -> awaitCancellation() },
             )
             val channel = EmbeddedChannel()
@@ -203,7 +204,7 @@
         clock = clock,
         limits = { CallerLimits() },
         isDraining = { isDraining },
-        bodyMemory = BodyMemory(1_000_000),
+        bodyMemory = MemoryLimit(1_000_000),
         handler = { _, response -> serve(response) },
     )
 
