Go on with a stream only with events that continue it

Callers saw, as another operator reports: an error in the middle of a stream that broke off, or a stream that ends as complete before its last event.

Cause: an attempt that continues a stream treated the response as that of a first attempt. A 2xx response of another type was written into the caller's stream and completed it; events were forwarded whatever their IDs; an event stream without events completed it.

Change: when a stream has begun, only an event stream goes on with it, and each new event must have the next ID; without a new event it is not complete.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/EventForwarder.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/EventForwarder.kt
@@ -26,6 +26,9 @@
     private val maximumEvents = tokens?.let { it.maximumOutput + EVENTS_WITHOUT_TOKENS } ?: Long.MAX_VALUE
     private var receivedEvents = 0L
 
+    /** Whether the caller has events of an earlier attempt, which this response is to continue. */
+    private val isContinuation = progress.callerResponse.hasStarted
+
     /** Events that were forwarded. */
     var forwardedEvents = 0L
         private set
@@ -33,6 +36,9 @@
     /** Whether a complete event has arrived. */
     val hasEvents: Boolean get() = receivedEvents > 0
 
+    /** Whether the response was to continue a stream and has no event for it. */
+    val hasNotContinued: Boolean get() = isContinuation && forwardedEvents == 0L
+
     /** Whether the response has ended within an event if it ends now. */
     val isWithinEvent: Boolean get() = splitter.isWithinEvent
 
@@ -48,12 +54,16 @@
         }
         if (events.isNotEmpty()) onEvents()
         val forwarded = mutableListOf<ByteBuf>()
+        var isGap = false
         for (event in events) {
-            if (++receivedEvents > maximumEvents) break
-            if (!isRepeated(event)) forwarded += event.bytes.also { recordForwarded(event) }
+            if (++receivedEvents > maximumEvents || isGap) break
+            if (isRepeated(event)) continue
+            isGap = isContinuation && event.id != progress.lastEventId?.plus(1)
+            if (!isGap) forwarded += event.bytes.also { recordForwarded(event) }
         }
         if (forwarded.isNotEmpty()) progress.callerResponse.write(joined(forwarded))
         return when {
+            isGap -> "an event that does not follow the last one of the stream"
             receivedEvents > maximumEvents -> "more events than requested tokens"
             splitter.isOverflowing -> "an event without end"
             !memory.tryHold(splitter.remainder().readableBytes()) -> "a partial event too large to keep"
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -209,9 +209,13 @@
     private fun isAnswer(response: HttpResponse): Boolean {
         val head = protocol.readResponse(response)
         return head.requestId == work.id && !head.isNotRun && head.isSigned && head.status in SUCCESS_STATUSES &&
-            !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
+            !response.headers().contains(HttpHeaderNames.CONTENT_ENCODING) && mayForward(response)
     }
 
+    /** Whether the successful [response] may be forwarded: a response that has started goes on with events only. */
+    private fun mayForward(response: HttpResponse): Boolean =
+        !progress.callerResponse.hasStarted || isEventStream(response)
+
     /**
      * Reads the response that starts with the head [response]. Returns its result, or null for an informational
      * response or one that belongs to another request.
@@ -245,6 +249,8 @@
                 AttemptResult.Failed(head.status, protocol.callerHeaders(response.headers()), body)
             }
 
+            !mayForward(response) -> AttemptResult.Incomplete("a response that does not continue the stream")
+
             isEventStream(response) -> forwardEvents(connection, response)
 
             else -> forwardBody(connection, response)
@@ -374,6 +380,7 @@
         forwarder: EventForwarder,
     ): AttemptResult {
         if (forwarder.isWithinEvent) return AttemptResult.Incomplete("the stream ended within an event")
+        if (forwarder.hasNotContinued) return AttemptResult.Incomplete("the stream was not continued")
         if (!forwarder.hasEvents && !connection.isResponseFramed) {
             return AttemptResult.Incomplete("the stream ended before its first event", isConnectionLost = true)
         }
