Set the times of a planned stop when it is requested

Callers saw, as another operator reports: requests that came late in a planned stop were passed on and ended with it.

Cause: a task of the event loop set the deadline of the stop 2.5 s after it had begun. While the event loop was behind, requests were admitted as if the router went on, and the times ran from the task, not from the signal.

Change: the signal's handler sets the times (PlannedStop), and admission compares them with its own time.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -17,7 +17,6 @@
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.MonotonicClock
-import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.identity.WallClock
 import org.heatherwind.core.retry.RetryThrottleLimits
@@ -75,6 +74,7 @@
 import org.heatherwind.gateway.telemetry.EventLoopDelay
 import org.heatherwind.gateway.telemetry.GatewayMetrics
 import org.heatherwind.gateway.telemetry.loggingFailures
+import java.util.concurrent.atomic.AtomicReference
 
 /**
  * One router process. All work runs on one event loop, so that state needs no locks.
@@ -203,7 +203,7 @@
                     crashes = crashes,
                     responseMemory = responseMemory,
                     liveRouterCount = { peerReports.liveCount() },
-                    stopDeadline = { stopDeadline },
+                    stopDeadline = { plannedStop.get()?.deadlineAt(clock.now()) },
                 ),
             ),
         ),
@@ -215,11 +215,10 @@
         pauseMilliseconds = settings.targetDrainMilliseconds / TARGET_READS_PER_DRAIN,
     )
 
-    @Volatile
-    private var isDraining = false
+    /** The planned stop that was requested, or null. */
+    private val plannedStop = AtomicReference<PlannedStop?>()
 
-    /** When the requests in progress are ended in a planned stop, or null while new ones are taken. */
-    private var stopDeadline: MonotonicTime? = null
+    private val isDraining: Boolean get() = plannedStop.get() != null
 
     /** Connections that callers opened since the start. */
     public val acceptedConnections: Long get() = listener.acceptedCount
@@ -272,16 +271,14 @@
 
     /** Stops accepting callers, waits for in-flight requests up to the drain deadline, and completes [awaitStopped]. */
     public fun drain() {
+        // Set at once, since requests may be admitted before the task that follows runs.
+        val stop = PlannedStop.of(clock.now(), settings.drainMilliseconds)
+        if (!plannedStop.compareAndSet(null, stop)) return
         scope.launch {
-            if (isDraining) return@launch
-            isDraining = true
             log.process("Draining.", "open" to listener.busyCount)
-            val reserve = minOf(DRAIN_RESERVE_MILLISECONDS, settings.drainMilliseconds / DRAIN_RESERVE_DIVISOR)
-            val deadline = clock.now().plusMilliseconds(settings.drainMilliseconds - reserve)
-            delay(minOf(LOAD_BALANCER_REMOVAL_MILLISECONDS, settings.drainMilliseconds / 2))
+            delay(stop.removedAt.millisecondsSince(clock.now()).coerceAtLeast(0))
             listener.stopListening()
-            stopDeadline = deadline
-            while (listener.neededCount(clock.now()) > 0 && clock.now() < deadline) {
+            while (listener.neededCount(clock.now()) > 0 && clock.now() < stop.endsAt) {
                 listener.closeIdle(clock.now())
                 delay(DRAIN_POLL_INTERVAL_MILLISECONDS)
             }
@@ -399,15 +396,8 @@
         const val TARGET_READS_PER_DRAIN = 5L
         const val MAINTENANCE_INTERVAL_MILLISECONDS = 250L
 
-        /** The load balancer removes a router after two failed readiness checks, 1 s apart. */
-        const val LOAD_BALANCER_REMOVAL_MILLISECONDS = 2_500L
         const val DRAIN_POLL_INTERVAL_MILLISECONDS = 50L
 
-        /** Reserved at the end of the drain for the final writes and the exit of the process. */
-        const val DRAIN_RESERVE_MILLISECONDS = 900L
-
-        /** Larger parts of a short drain would end requests that still have time. */
-        const val DRAIN_RESERVE_DIVISOR = 6L
         const val FINAL_ANSWERS_TIMEOUT_MILLISECONDS = 150L
         const val FINAL_ANSWERS_POLL_INTERVAL_MILLISECONDS = 10L
         const val FINAL_WRITES_TIMEOUT_MILLISECONDS = 500L
