Send nothing to a target that announces that it leaves or asks for time

Cause: no code read Server-Leaving, or Retry-After of a refusal; a target that leaves got requests until its entry in the list said so, and one that asked for time got them at once.

Change: TargetAvailability holds, for one life of a target, what it states in its own answers. PlacementPolicy passes over targets that are not open, and an attempt looks once more after it has connected.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -43,7 +43,8 @@
         isSharedCacheAssumed: Boolean = true,
     ): Placement? {
         val available = candidates.filter {
-            !it.isReplaced && it.entry.id !in excluded && it.inFlightRequests < connectionsPerTarget
+            !it.isReplaced && it.availability.isOpen(now) && it.entry.id !in excluded &&
+                it.inFlightRequests < connectionsPerTarget
         }
         val eligible = available.filterNot { it.isSuspected(now) }.ifEmpty { available }
         if (eligible.isEmpty()) return null
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -2,6 +2,7 @@
 
 import org.heatherwind.core.fleet.EngineProfile
 import org.heatherwind.core.identity.MonotonicTime
+import org.heatherwind.core.target.TargetAvailability
 import org.heatherwind.core.target.TargetEntry
 import org.heatherwind.core.work.PromptPart
 import org.heatherwind.core.work.TokenDemand
@@ -35,6 +36,9 @@
     public var suspectedUntil: MonotonicTime = MonotonicTime.distantPast
         private set
 
+    /** What the target has stated in its answers about further requests. */
+    public var availability: TargetAvailability = TargetAvailability()
+
     /** Whether another target responded at the address. Stays true until the list of targets contains the new one. */
     public var isReplaced: Boolean = false
         private set
--- a/core/src/main/kotlin/org/heatherwind/core/target/TargetEntry.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/target/TargetEntry.kt
@@ -29,4 +29,8 @@
     public fun isSameProcessAs(other: TargetEntry): Boolean =
         id == other.id && host == other.host && port == other.port && service == other.service &&
             startedAtEpochMilliseconds == other.startedAtEpochMilliseconds
+
+    /** Returns whether [other] is known to describe the same process, whatever its address. */
+    public fun isSameLifeAs(other: TargetEntry): Boolean = id == other.id && startedAtEpochMilliseconds != null &&
+        startedAtEpochMilliseconds == other.startedAtEpochMilliseconds
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
@@ -34,6 +34,8 @@
  * @property isNotRun whether the target stated that it did not run the request
  * @property isMisdirected whether the request was intended for a target other than the one at this address
  * @property isSigned whether the response comes from the target's service and not from an intermediary
+ * @property isLeaving whether the target announces that it leaves
+ * @property retryAfterSeconds how long the target wants no further requests, not a number if it is malformed, or null
  */
 public data class TargetResponseHead(
     val status: Int,
@@ -42,6 +44,8 @@
     val isMisdirected: Boolean,
     val isSigned: Boolean,
     val load: ReportedLoad?,
+    val isLeaving: Boolean = false,
+    val retryAfterSeconds: Double? = null,
 )
 
 /** Translates between HTTP headers and the router's own types. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -48,6 +48,7 @@
     val responseMemory: MemoryLimit,
     val liveRouterCount: () -> Int,
     val stopDeadline: () -> MonotonicTime? = { null },
+    val notices: TargetNotices = TargetNotices(clock, log, metrics),
     val responseTimeouts: ResponseTimeoutPolicy = ResponseTimeoutPolicy(),
 )
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -23,6 +23,7 @@
  * One attempt of a request on one target: [connect], [send], then [forward].
  *
  * @param memory holds what is buffered of the response
+ * @param notices records what the target states about further requests
  * @param observation observes the attempt during a roll-out, or null
  * @param takeOver called when the response is overdue; returns whether another target has taken the request over, and
  * this attempt is to end
@@ -38,6 +39,7 @@
     private val clock: MonotonicClock,
     private val responseTimeouts: ResponseTimeoutPolicy,
     private val memory: MemoryShare,
+    private val notices: TargetNotices,
     private val observation: AttemptObservation?,
     private val takeOver: suspend (TargetAttempt) -> Boolean,
 ) {
@@ -87,7 +89,10 @@
     suspend fun connect(): AttemptResult? = ending {
         val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
         connection = client.connect(target, isRepeatable, excluded = progress.connections)
-        if (connection != null) return@ending null
+        if (connection != null) {
+            val isOpen = target.availability.isOpen(clock.now())
+            return@ending if (isOpen) null else AttemptResult.NotSent("the target wants no requests")
+        }
         target.recordConnectionFailure(clock.now())
         client.closeIdle(target)
         AttemptResult.NotSent("could not connect")
@@ -233,11 +238,12 @@
                 head.requestId != null -> null
 
                 // A copy of an earlier refusal may arrive on a connection that carried other requests.
-                head.isNotRun && connection.requestCount == 1 -> notRun(head)
+                head.isNotRun && connection.requestCount == 1 -> notRun(head).also { notices.record(target, head) }
 
                 else -> AttemptResult.Incomplete("a response without a request ID")
             }
         }
+        notices.record(target, head)
         extendProgress(hasStarted = !isEventStream(response))
         val isEncoded = response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)
         return when {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -53,7 +53,7 @@
     /** Sends the request to a target. Returns the attempt, or null if no further target can be tried. */
     private suspend fun startNext(): TargetAttempt? {
         while (!isBlocked() && mayAttempt()) {
-            val placement = choose() ?: return null
+            val placement = choose() ?: return null.also { delayRetryUntilOpen() }
             if (sentAttempts == 0) context.retries.recordFirstAttempt(service, context.clock.now())
             val attempt = newAttempt(placement)
             val result = attempt.connect()
@@ -147,6 +147,15 @@
         return introduced ?: chooseAmong(context.rollouts.targetsOf(service), isSharedCacheAssumed = true)
     }
 
+    /** Lets the caller retry when the first of the targets opens that want no requests at present. */
+    private fun delayRetryUntilOpen() {
+        val now = context.clock.now()
+        val opening = context.rollouts.targetsOf(service).map { it.availability }
+            .filter { !it.isLeaving && !it.isOpen(now) }.minOfOrNull { it.closedUntil } ?: return
+        val mayRetry = error.retryAfterMilliseconds != null
+        if (mayRetry) error = error.copy(retryAfterMilliseconds = opening.millisecondsSince(now))
+    }
+
     private fun chooseAmong(candidates: List<TargetLoad>, isSharedCacheAssumed: Boolean): Placement? {
         val profile: ServiceProfile? = context.state.routes?.plan?.services?.get(service)
         val connections = (profile?.maximumConnections ?: DEFAULT_CONNECTIONS) * CONNECTION_SHARE /
@@ -178,6 +187,7 @@
             clock = context.clock,
             responseTimeouts = context.responseTimeouts,
             memory = MemoryShare(context.responseMemory),
+            notices = context.notices,
             observation = context.rollouts.observe(service, work.route.name, placement),
             takeOver = ::takeOver,
         )
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -7,11 +7,18 @@
 import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.placement.TargetLoad
+import org.heatherwind.core.target.TargetAvailability
 import org.heatherwind.core.target.TargetDirectory
+import org.heatherwind.core.target.TargetEntry
 
 /** This router's state of the fleet: routes, targets and their load. Confined to the event loop. */
 internal class FleetState {
     private val loads = HashMap<TargetId, TargetLoad>()
+
+    /** Removed targets that want no requests, the last ones only. */
+    private val removed = object : LinkedHashMap<TargetId, TargetLoad>() {
+        override fun removeEldestEntry(eldest: Map.Entry<TargetId, TargetLoad>): Boolean = size > MAXIMUM_REMOVED
+    }
     private val candidates = HashMap<ServiceId, List<TargetLoad>>()
 
     /** Routes and customers of the newest plan, or null until the first plan has been read. */
@@ -47,17 +54,25 @@
         if (updated === directory) return
         directory = updated
         candidates.clear()
+        loads.values.filter { it.entry.id !in updated.entries && it.availability != TargetAvailability() }
+            .forEach { removed[it.entry.id] = it }
         loads.keys.retainAll(updated.entries.keys)
         updated.entries.forEach { (id, entry) ->
             val existing = loads[id]
             if (existing == null || !existing.entry.isSameProcessAs(entry)) {
-                loads[id] = TargetLoad(entry)
+                loads[id] = TargetLoad(entry).apply { availability = lastAvailabilityOf(entry, existing) }
             } else {
                 existing.entry = entry
             }
         }
     }
 
+    /** Returns what the process of [entry] has stated in its answers, although its entry was removed or has changed. */
+    private fun lastAvailabilityOf(entry: TargetEntry, existing: TargetLoad?): TargetAvailability {
+        val earlier = existing ?: removed.remove(entry.id)
+        return earlier?.takeIf { it.entry.isSameLifeAs(entry) }?.availability ?: TargetAvailability()
+    }
+
     /** The load of [target], or null if the target is not registered. */
     fun loadOf(target: TargetId): TargetLoad? = loads[target]
 
@@ -65,4 +80,9 @@
     fun candidatesOf(service: ServiceId): List<TargetLoad> = candidates.getOrPut(service) {
         directory.candidatesOf(service).mapNotNull { loads[it.id] }
     }
+
+    private companion object {
+        /** Several times the targets that leave within the time in which an entry may reappear. */
+        const val MAXIMUM_REMOVED = 1_000
+    }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -41,6 +41,9 @@
         .help("Parts of responses received from targets, by service.").labelNames("service").register(registry)
     private val forwardedEvents = Counter.builder().name("heatherwind_forwarded_events_total")
         .help("Events forwarded from targets to callers, by service.").labelNames("service").register(registry)
+    private val closedTargets = Counter.builder().name("heatherwind_targets_closed_total")
+        .help("Notices of targets that want no further requests, by service and cause (leaving, pause).")
+        .labelNames("service", "cause").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -79,6 +82,11 @@
         rolloutShare.labelValues(service).set(share)
     }
 
+    /** Counts a notice of a target of [service] that wants no further requests for [cause]. */
+    public fun countClosedTarget(service: String, cause: String) {
+        closedTargets.labelValues(service, cause).inc()
+    }
+
     /** Counts what an attempt on a target of [service] received, and the events that it forwarded. */
     internal fun countReceived(service: String, received: ReceivedCounts) {
         receivedBytes.labelValues(service).inc(received.bytes.toDouble())
