--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -47,9 +47,11 @@
 
     /** What the parts in [parts] take, with an allowance for heads. */
     private var bufferedBytes = 0
-    private var informationalResponses = 0
     private var isRequestWritten = true
 
+    /** Informational responses received for the current request. */
+    private var informationalResponses = 0
+
     /** Null if the connection had ended before this was created. */
     private val decoder: ResponseDecoder? = channel.pipeline().get(ResponseDecoder::class.java)
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -147,13 +147,13 @@
         return introduced ?: chooseAmong(context.rollouts.targetsOf(service), isSharedCacheAssumed = true)
     }
 
-    /** Lets the caller retry when the first of the targets opens that want no requests at present. */
+    /** If all targets want no requests at present, lets the caller retry when the first of them opens. */
     private fun delayRetryUntilOpen() {
         val now = context.clock.now()
-        val opening = context.rollouts.targetsOf(service).map { it.availability }
-            .filter { !it.isLeaving && !it.isOpen(now) }.minOfOrNull { it.closedUntil } ?: return
+        val staying = context.rollouts.targetsOf(service).map { it.availability }.filterNot { it.isLeaving }
         val mayRetry = error.retryAfterMilliseconds != null
-        if (mayRetry) error = error.copy(retryAfterMilliseconds = opening.millisecondsSince(now))
+        if (!mayRetry || staying.isEmpty() || staying.any { it.isOpen(now) }) return
+        error = error.copy(retryAfterMilliseconds = staying.minOf { it.closedUntil }.millisecondsSince(now))
     }
 
     private fun chooseAmong(candidates: List<TargetLoad>, isSharedCacheAssumed: Boolean): Placement? {
