Ignore fields of later versions in what routers write to each other

Cause: a router rejected a whole report, or call, of another one if it had a field that its own version does not know, so in a roll-out of routers those of the earlier version took the others for gone. LedgerPartition ignored such fields already.

Change: one JSON decoder for all records and calls between routers.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerClient.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.json.Json
 import org.heatherwind.gateway.http.CallResult
 import org.heatherwind.gateway.http.SimpleHttpClient
+import org.heatherwind.gateway.state.versionedJson
 import org.heatherwind.gateway.telemetry.DecisionLog
 import java.net.InetSocketAddress
 
@@ -34,7 +35,7 @@
             is CallResult.NoResponse -> logFailure(peer, path, result.reason)
 
             is CallResult.Responded -> try {
-                Json.decodeFromString(responseSerializer, result.body.decodeToString())
+                versionedJson.decodeFromString(responseSerializer, result.body.decodeToString())
             } catch (_: SerializationException) {
                 logFailure(peer, path, "response of status ${result.status} cannot be parsed")
             }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerServer.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.json.Json
 import org.heatherwind.gateway.http.SimpleHttpListener
 import org.heatherwind.gateway.http.SimpleResponse
+import org.heatherwind.gateway.state.versionedJson
 import java.net.InetSocketAddress
 
 /**
@@ -25,7 +26,7 @@
     /** Returns the JSON response to the JSON request [text], or null if [text] cannot be parsed. */
     fun responseTo(text: String): String? {
         val request = try {
-            Json.decodeFromString(requestSerializer, text)
+            versionedJson.decodeFromString(requestSerializer, text)
         } catch (_: SerializationException) {
             return null
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -143,7 +143,7 @@
     ).encodeToByteArray()
 
     private fun decode(value: ByteArray): BudgetAllocation {
-        val record = json.decodeFromString(AllocationRecord.serializer(), value.decodeToString())
+        val record = versionedJson.decodeFromString(AllocationRecord.serializer(), value.decodeToString())
         return BudgetAllocation(
             closedTokensAtMost = record.closedTokensAtMost,
             closedTokensAtLeast = record.closedTokensAtLeast,
@@ -173,9 +173,6 @@
     private companion object {
         val NO_ALLOCATION = BudgetAllocation()
 
-        /** Ignores fields that later versions add. */
-        val json = Json { ignoreUnknownKeys = true }
-
         /** Above about this number, reading all added records costs more than reading the newest one of each key. */
         const val MAXIMUM_HOLDERS_READ_INCREMENTALLY = 16
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -1,6 +1,5 @@
 package org.heatherwind.gateway.state
 
-import kotlinx.serialization.json.Json
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
@@ -131,7 +130,7 @@
         totals.clear()
         nextLiveCountAt = now
         try {
-            val report = Json.decodeFromString(RouterReport.serializer(), value.decodeToString())
+            val report = versionedJson.decodeFromString(RouterReport.serializer(), value.decodeToString())
             latestByInstance[InstanceId(record.key)] = ReceivedReport(report, now)
             onReport(report)
         } catch (failure: IllegalArgumentException) {
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/PeerReportsTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/PeerReportsTest.kt
@@ -11,6 +11,7 @@
 import org.heatherwind.gateway.telemetry.GatewayMetrics
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import kotlin.test.Test
 import kotlin.test.assertEquals
 
 /** Given an odd report, when reports are read, then those beside it are recorded. */
@@ -47,5 +48,15 @@
             }
         }
 
+    // Guards against a router of an earlier version that takes those of a later one for gone.
+    @Test
+    fun `given a report with a field of a later version when reports are read then it is recorded`() {
+        val clock = MonotonicClock { MonotonicTime(1_000) }
+        val self = Incarnation.of(InstanceId("self"), Timestamp(1))
+        val reports = PeerReports(self, clock, DecisionLog(clock, GatewayMetrics()))
+        reports.onRecords(listOf(record("r2", report("10.0.0.9:7520", ",\"later\":{\"a\":[1]}"))))
+        assertEquals(listOf("10.0.0.9:7520"), reports.peerAddresses().map { it.hostAndPort })
+    }
+
     private fun record(key: String, value: String) = KeyedRecord(offset = 0, key, value.encodeToByteArray())
 }
