--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -15,9 +15,9 @@
 internal class FleetState {
     private val loads = HashMap<TargetId, TargetLoad>()
 
-    /** Removed targets that want no requests, the last ones only. */
-    private val removed = object : LinkedHashMap<TargetId, TargetLoad>() {
-        override fun removeEldestEntry(eldest: Map.Entry<TargetId, TargetLoad>): Boolean = size > MAXIMUM_REMOVED
+    /** What removed targets have stated, as far as they want no requests; the last ones only. */
+    private val removed = object : LinkedHashMap<TargetId, RemovedTarget>() {
+        override fun removeEldestEntry(eldest: Map.Entry<TargetId, RemovedTarget>): Boolean = size > MAXIMUM_REMOVED
     }
     private val candidates = HashMap<ServiceId, List<TargetLoad>>()
 
@@ -55,7 +55,7 @@
         directory = updated
         candidates.clear()
         loads.values.filter { it.entry.id !in updated.entries && it.availability != TargetAvailability() }
-            .forEach { removed[it.entry.id] = it }
+            .forEach { removed[it.entry.id] = RemovedTarget(it.entry, it.availability) }
         loads.keys.retainAll(updated.entries.keys)
         updated.entries.forEach { (id, entry) ->
             val existing = loads[id]
@@ -69,7 +69,7 @@
 
     /** Returns what the process of [entry] has stated in its answers, although its entry was removed or has changed. */
     private fun lastAvailabilityOf(entry: TargetEntry, existing: TargetLoad?): TargetAvailability {
-        val earlier = existing ?: removed.remove(entry.id)
+        val earlier = existing?.let { RemovedTarget(it.entry, it.availability) } ?: removed.remove(entry.id)
         return earlier?.takeIf { it.entry.isSameLifeAs(entry) }?.availability ?: TargetAvailability()
     }
 
@@ -81,6 +81,8 @@
         directory.candidatesOf(service).mapNotNull { loads[it.id] }
     }
 
+    private class RemovedTarget(val entry: TargetEntry, val availability: TargetAvailability)
+
     private companion object {
         /** Several times the targets that leave within the time in which an entry may reappear. */
         const val MAXIMUM_REMOVED = 1_000
