State plainly why a test leaves a case out

Cause: a comment of TargetNoticesTest read figuratively. Change: the comment alone; no code and no assertion.

--- a/gateway/src/test/kotlin/org/heatherwind/gateway/serve/TargetNoticesTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/serve/TargetNoticesTest.kt
@@ -120,7 +120,7 @@
             val load = PlacementPolicy.choose(candidates, null, null, emptySet(), CONNECTIONS, now)?.target ?: return
             val target = targets.first { it.id == load.entry.id.value }
             if (target.isLeaving || now < target.closedUntil) violations++
-            // A life that the router has not read of cannot be told from the one before.
+            // An answer does not state which process sent it, so a restart that was not read yet is left out.
             if (target.isKnown) notices.record(load, read(answer(target)))
         }
 
