Agree on the interfaces of the parts for hard load

Cause: pace, speed, admission and evacuation are built side by side and meet in the placement of a request. Change: hooks for a target's pace, speed and cold state, a predicted time to the first event, the rank of a request, and the longer load report.

--- a/core/src/main/kotlin/org/heatherwind/core/fleet/RoutingPlan.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/fleet/RoutingPlan.kt
@@ -57,8 +57,15 @@
  *
  * @property maximumConnections connections that one target accepts from all routers together
  * @property engine capacity of the model engine, or null for a plain service
+ * @property coldRequestsPerSecond requests per second that a cold target bears from all routers together, or null if
+ *   there is no such limit
  */
-public data class ServiceProfile(val name: ServiceId, val maximumConnections: Int, val engine: EngineProfile? = null)
+public data class ServiceProfile(
+    val name: ServiceId,
+    val maximumConnections: Int,
+    val engine: EngineProfile? = null,
+    val coldRequestsPerSecond: Double? = null,
+)
 
 /**
  * Capacity of a model engine.
--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -11,13 +11,15 @@
  *
  * @property uncachedTokens prompt tokens that are probably not in the target's prefix cache
  * @property prefillMilliseconds predicted prefill time of these tokens
- * @property expectedMilliseconds predicted time to the first event
+ * @property expectedMilliseconds time to the first event that is expected of a target of usual speed
+ * @property predictedMilliseconds predicted time to the first event at the target's present speed
  */
 public class Placement(
     public val target: TargetLoad,
     public val uncachedTokens: Long,
     public val prefillMilliseconds: Double,
     public val expectedMilliseconds: Double,
+    public val predictedMilliseconds: Double = expectedMilliseconds,
 )
 
 /** Chooses the target of a request from this router's view of the targets. */
@@ -43,8 +45,7 @@
         isSharedCacheAssumed: Boolean = true,
     ): Placement? {
         val available = candidates.filter {
-            !it.isReplaced && it.availability.isOpen(now) && it.entry.id !in excluded &&
-                it.inFlightRequests < connectionsPerTarget
+            it.isOpen(now) && it.entry.id !in excluded && it.inFlightRequests < connectionsPerTarget
         }
         val eligible = available.filterNot { it.isSuspected(now) }.ifEmpty { available }
         if (eligible.isEmpty()) return null
@@ -77,11 +78,12 @@
             val expected = expectedMilliseconds(load, engine, prefill, now)
             val repeatedPrefill = (shared - cached).coerceAtLeast(0) * REPEATED_PREFILL_MILLISECONDS_PER_TOKEN
             val cacheOverflow = if (load.hasCacheCapacityFor(tokens, engine)) 0.0 else CACHE_OVERFLOW_MILLISECONDS
-            val cost = expected * load.latencyRatio(now) + repeatedPrefill + cacheOverflow +
+            val predicted = expected * load.latencyRatio(now) * load.speed.slowdown(now)
+            val cost = predicted + repeatedPrefill + cacheOverflow +
                 load.overdueMilliseconds(now) + load.failureScore(now) * MILLISECONDS_PER_RECENT_FAILURE
             if (cost < bestCost) {
                 bestCost = cost
-                best = Placement(load, uncached, prefill, expected)
+                best = Placement(load, uncached, prefill, expected, predicted)
             }
         }
         return best
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -13,6 +13,15 @@
     private val prefixCache = PrefixCacheEstimate(PREFIX_CACHE_CAPACITY_TOKENS)
     private val latencyRatioEstimate = LatencyRatioEstimate(LATENCY_RATIO_WEIGHT)
 
+    /** Limits what the target gets while it has just started or recovered. */
+    public val pace: TargetPace = TargetPace()
+
+    /** How fast the target works at present, from its own reports. */
+    public val speed: TargetSpeed = TargetSpeed()
+
+    /** Until when the target is cold, as it or the list of targets has stated last. */
+    public var coldUntil: MonotonicTime = MonotonicTime.distantPast
+
     /** In-flight requests of this router on the target. */
     public var inFlightRequests: Int = 0
         private set
@@ -43,6 +52,10 @@
     public var isReplaced: Boolean = false
         private set
 
+    /** Returns whether the target may get another request of this router at [now], suspicions aside. */
+    public fun isOpen(now: MonotonicTime): Boolean = !isReplaced && availability.isOpen(now) &&
+        pace.isOpen(inFlightRequests, now)
+
     /** Returns the cached prefix tokens of a prompt, as estimated from the prompts known to have been sent here. */
     public fun cachedTokens(tokens: TokenDemand): Long = prefixCache.cachedTokens(tokens.parts)
 
--- a/core/src/main/kotlin/org/heatherwind/core/target/TargetEntry.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/target/TargetEntry.kt
@@ -13,6 +13,7 @@
  * @property isDraining whether the target accepts no new requests
  * @property startedAtEpochMilliseconds start of the target's process, which has no state of earlier processes; null if
  *   the entry does not contain it
+ * @property coldMilliseconds how much longer the target stays cold, as of when it wrote the entry; 0 if it is warm
  */
 public data class TargetEntry(
     val id: TargetId,
@@ -24,6 +25,7 @@
     val slots: Int,
     val isDraining: Boolean,
     val startedAtEpochMilliseconds: Long? = null,
+    val coldMilliseconds: Long = 0,
 ) {
     /** Returns whether [other] describes the same process at the same address. */
     public fun isSameProcessAs(other: TargetEntry): Boolean =
--- a/core/src/main/kotlin/org/heatherwind/core/work/WorkRequest.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/work/WorkRequest.kt
@@ -23,7 +23,10 @@
     val tokens: TokenDemand?,
     val receivedAt: MonotonicTime,
     val deadline: MonotonicTime,
-)
+) {
+    /** Rank among requests; 0 is the most urgent. A customer's rank replaces the route's. */
+    public val rank: Int get() = customer?.priority ?: route.priority
+}
 
 /**
  * The size of a generation in tokens.
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
@@ -24,8 +24,20 @@
     val resumeAfterEvent: Long?,
 )
 
-/** Numbers of requests that a target reports as running and waiting. */
-public data class ReportedLoad(val running: Int, val waiting: Int)
+/**
+ * A target's report on its load.
+ *
+ * @property running requests that it runs
+ * @property waiting requests that wait for a slot
+ * @property slots requests that it runs concurrently, or null if it does not state them
+ * @property slowdown factor by which work takes longer than usual at the moment, or null if it does not state it
+ */
+public data class ReportedLoad(
+    val running: Int,
+    val waiting: Int,
+    val slots: Int? = null,
+    val slowdown: Double? = null,
+)
 
 /**
  * The decoded fields of a target's response head.
