Announce long prompts to fewer routers of a large fleet

Cause: a fleet of 83 routers sent 24 datagrams for each long prompt. Reading them took a tenth of the samples of the event loops, and most bytes between data centres were theirs. Change: above 25 routers, the number of receivers falls with the fleet, to 6.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
@@ -52,7 +52,9 @@
             parts = tokens.sharedParts.map { AnnouncedPart(it.key, it.tokens) },
         )
         val bytes = Json.encodeToString(PlacementAnnouncement.serializer(), announcement).encodeToByteArray()
-        val receivers = peers().let { if (it.size > MAXIMUM_PEERS) it.shuffled().take(MAXIMUM_PEERS) else it }
+        val peers = peers()
+        val receiverCount = receiverCount(peers.size)
+        val receivers = if (peers.size > receiverCount) peers.shuffled().take(receiverCount) else peers
         receivers.forEach { sender.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
         sender.flush()
     }
@@ -84,11 +86,23 @@
         }
     }
 
-    private companion object {
+    internal companion object {
+        /** Returns to how many of [peers] other routers a prompt is announced. */
+        fun receiverCount(peers: Int): Int = when {
+            peers <= MAXIMUM_PEERS -> peers
+            else -> (MAXIMUM_PEERS * MAXIMUM_PEERS / peers).coerceAtLeast(MINIMUM_PEERS)
+        }
+
         /** Shorter prefills delay other requests by less than the normal latency difference between targets. */
-        const val MINIMUM_PREFILL_MILLISECONDS = 15.0
+        private const val MINIMUM_PREFILL_MILLISECONDS = 15.0
+
+        /**
+         * All routers of a fleet of this size hear of each prompt. Of larger ones fewer do, since each router sends a
+         * smaller part of the prompts, and reading an announcement costs about as much as it may save.
+         */
+        private const val MAXIMUM_PEERS = 24
 
-        /** Limits the datagrams of a large fleet; random samples reach every router within a few announcements. */
-        const val MAXIMUM_PEERS = 24
+        /** Random samples reach every router within some announcements. */
+        private const val MINIMUM_PEERS = 6
     }
 }
