Take the speed that a target states of its machine into account

Cause: the third and fourth figure of a target's load report were not read, so a machine that is slow at present was taken for a usual one until its late answers had been seen; a figure out of range could hide a target or overflow. Change: the report's slots and slowdown are read, each figure with bounds; figures that can't be used are counted and logged. TargetSpeed holds the stated slowdown: the last report for some hundreds of milliseconds, then the mean of the past. The learned latency ratio leaves it out. Measured: PlacementPolicyTest, TargetSpeedTest, LoadHeaderTest, TargetNoticesTest and AdapterBoundaryTest pass.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/InFlightRequest.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/InFlightRequest.kt
@@ -7,13 +7,15 @@
  *
  * @property prefillMilliseconds predicted prefill time of the prompt
  * @property occupiedTokens tokens that the request may occupy in the target's cache
- * @property expectedMilliseconds predicted time to the first event
+ * @property expectedMilliseconds time to the first event that is expected of a target of usual speed
+ * @property slowdown factor by which work took longer than usual when it was sent
  */
 public class InFlightRequest(
     public val prefillMilliseconds: Double,
     public val occupiedTokens: Long,
     public val expectedMilliseconds: Double,
     public val sentAt: MonotonicTime,
+    public val slowdown: Double = 1.0,
 ) {
     internal var hasFirstEvent = false
 }
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -30,12 +30,16 @@
     private var announcedMilliseconds = 0.0
     private var announcedAt = MonotonicTime.distantPast
 
+    /** Requests that the target runs at once, as it has stated last. */
+    public val slots: Int get() = (reportedSlots ?: entry.slots).coerceAtLeast(1)
+
     /** Tokens that this router's in-flight requests may occupy in the target's cache. */
     public var occupiedTokens: Long = 0
         private set
 
     private var reportedExternalRequests: Double = 0.0
     private var reportedWaitingRequests: Int = 0
+    private var reportedSlots: Int? = null
     private var reportedAt: MonotonicTime = MonotonicTime.distantPast
     private var consecutiveFailures: Int = 0
     private var lastFailureScore: Double = 0.0
@@ -72,11 +76,13 @@
         expectedMilliseconds: Double,
         now: MonotonicTime,
     ): InFlightRequest {
-        val request = InFlightRequest(prefillMilliseconds, tokens?.worstCaseTokens ?: 0, expectedMilliseconds, now)
+        val occupiedTokens = tokens?.worstCaseTokens ?: 0
+        val slowdown = speed.slowdown(now)
+        val request = InFlightRequest(prefillMilliseconds, occupiedTokens, expectedMilliseconds, now, slowdown)
         inFlightRequests++
         awaitingFirstEvent += request
         pendingPrefillMilliseconds += request.prefillMilliseconds
-        occupiedTokens += request.occupiedTokens
+        this.occupiedTokens += request.occupiedTokens
         if (tokens != null) prefixCache.recordPrompt(tokens.parts)
         return request
     }
@@ -109,7 +115,9 @@
         pendingPrefillMilliseconds -= request.prefillMilliseconds
         if (now != null) {
             val actual = now.millisecondsSince(request.sentAt).toDouble()
-            latencyRatioEstimate.observe(request.expectedMilliseconds, actual, now)
+            // The slowdown that the target states is left out of what is learned, so that it counts once.
+            val slowdown = (request.slowdown + speed.slowdown(now)) / 2
+            latencyRatioEstimate.observe(request.expectedMilliseconds * slowdown, actual, now)
         }
     }
 
@@ -120,11 +128,22 @@
         occupiedTokens -= request.occupiedTokens
     }
 
-    /** Records the target's load report, received at [now]: its [running] and [waiting] requests of all routers. */
-    public fun recordLoadReport(running: Int, waiting: Int, now: MonotonicTime) {
-        reportedExternalRequests = (running + waiting - inFlightRequests).coerceAtLeast(0).toDouble()
+    /**
+     * Records the target's load report, received at [now]: its [running] and [waiting] requests of all routers, and, if
+     * it states them, its [slots] and the [slowdown] of its work at present.
+     */
+    public fun recordLoadReport(
+        running: Int,
+        waiting: Int,
+        now: MonotonicTime,
+        slots: Int? = null,
+        slowdown: Double? = null,
+    ) {
+        reportedExternalRequests = (running.toDouble() + waiting - inFlightRequests).coerceAtLeast(0.0)
         reportedWaitingRequests = waiting
+        reportedSlots = slots
         reportedAt = now
+        slowdown?.let { speed.recordReport(it, now) }
     }
 
     /** Returns the external requests of the last load report; their number decays with the report's age. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
@@ -46,6 +46,7 @@
  * @property isNotRun whether the target stated that it did not run the request
  * @property isMisdirected whether the request was intended for a target other than the one at this address
  * @property isSigned whether the response comes from the target's service and not from an intermediary
+ * @property hasInvalidLoad whether the target's load report has a figure that can't be used
  * @property isLeaving whether the target announces that it leaves
  * @property retryAfterSeconds how long the target wants no further requests, not a number if it is malformed, or null
  */
@@ -56,6 +57,7 @@
     val isMisdirected: Boolean,
     val isSigned: Boolean,
     val load: ReportedLoad?,
+    val hasInvalidLoad: Boolean = false,
     val isLeaving: Boolean = false,
     val retryAfterSeconds: Double? = null,
 )
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -227,7 +227,7 @@
      */
     private suspend fun receiveResponse(connection: ClientConnection, response: HttpResponse): AttemptResult? {
         val head = protocol.readResponse(response)
-        head.load?.let { target.recordLoadReport(it.running, it.waiting, clock.now()) }
+        head.load?.let { target.recordLoadReport(it.running, it.waiting, clock.now(), it.slots, it.slowdown) }
         if (head.status < FIRST_FINAL_STATUS) return null
         if (head.requestId != work.id) {
             connection.isClosing = true
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetNotices.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetNotices.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.serve
 
 import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.target.TargetAvailability
 import org.heatherwind.gateway.protocol.TargetResponseHead
@@ -15,15 +16,31 @@
     private val metrics: GatewayMetrics,
     private val random: Random = Random.Default,
 ) {
+    private var invalidLoadLoggedUntil = MonotonicTime.distantPast
+
     /** Records the notices in [head], the head of an answer of [target] to a request that was sent to it. */
     fun record(target: TargetLoad, head: TargetResponseHead) {
         // An answer of another target, or one that no target has signed, must not take this one out of use.
         val isOfTarget = !head.isMisdirected && (head.isSigned || head.isNotRun)
         if (!isOfTarget) return
+        if (head.hasInvalidLoad) recordInvalidLoad(target, head)
         if (head.isLeaving && !target.availability.isLeaving) recordLeaving(target, head)
         if (head.status == UNAVAILABLE) head.retryAfterSeconds?.let { recordPause(target, it) }
     }
 
+    private fun recordInvalidLoad(target: TargetLoad, head: TargetResponseHead) {
+        metrics.countInvalidLoad(target.entry.service.value)
+        val now = clock.now()
+        if (now < invalidLoadLoggedUntil) return
+        invalidLoadLoggedUntil = now.plusMilliseconds(INVALID_LOAD_LOG_MILLISECONDS)
+        log.stateChange(
+            SUBJECT,
+            "Ignored invalid figures in a target's load report.",
+            "target" to target.entry.id.value,
+            "usedFigures" to head.load,
+        )
+    }
+
     private fun recordLeaving(target: TargetLoad, head: TargetResponseHead) {
         target.availability = target.availability.withLeaving()
         metrics.countClosedTarget(target.entry.service.value, "leaving")
@@ -55,5 +72,8 @@
     private companion object {
         const val SUBJECT = "targets"
         const val UNAVAILABLE = 503
+
+        /** A target that states nonsense does so in each answer; a line a second names it. */
+        const val INVALID_LOAD_LOG_MILLISECONDS = 1_000L
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -44,6 +44,9 @@
     private val closedTargets = Counter.builder().name("heatherwind_targets_closed_total")
         .help("Notices of targets that want no further requests, by service and cause (leaving, pause).")
         .labelNames("service", "cause").register(registry)
+    private val invalidLoads = Counter.builder().name("heatherwind_target_loads_invalid_total")
+        .help("Load reports of targets with figures that were ignored, by service.")
+        .labelNames("service").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -87,6 +90,11 @@
         closedTargets.labelValues(service, cause).inc()
     }
 
+    /** Counts a load report of a target of [service] with figures that were ignored. */
+    public fun countInvalidLoad(service: String) {
+        invalidLoads.labelValues(service).inc()
+    }
+
     /** Counts what an attempt on a target of [service] received, and the events that it forwarded. */
     internal fun countReceived(service: String, received: ReceivedCounts) {
         receivedBytes.labelValues(service).inc(received.bytes.toDouble())
