Predict the time to the first event at a target's learned speed

Cause: what a router learned of a target's speed was forgotten within 8 s, although it sends to a target of a large fleet less often than that; the prediction of a plain call was a constant, and a prediction of a short prompt left out the network's share of the ratio it was learned from. Plain calls are observed and predicted by their turn on the target's slots.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/LatencyRatioEstimate.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/LatencyRatioEstimate.kt
@@ -12,7 +12,7 @@
 
     /** Records at [now] that a first event took [actualMilliseconds], predicted as [expectedMilliseconds]. */
     public fun observe(expectedMilliseconds: Double, actualMilliseconds: Double, now: MonotonicTime) {
-        val observed = (actualMilliseconds + SMOOTHING_MILLISECONDS) / (expectedMilliseconds + SMOOTHING_MILLISECONDS)
+        val observed = ratioOf(expectedMilliseconds, actualMilliseconds)
         ratio = ratioAt(now) * (1 - weight) + observed.coerceIn(MINIMUM_RATIO, MAXIMUM_RATIO) * weight
         observedAt = now
     }
@@ -24,13 +24,23 @@
         return 1 + (ratio - 1) * confidence
     }
 
-    private companion object {
+    /** Returns the time to the first event that the ratio at [now] predicts, where [expectedMilliseconds] are usual. */
+    public fun predict(expectedMilliseconds: Double, now: MonotonicTime): Double {
+        val predicted = ratioAt(now) * (expectedMilliseconds + SMOOTHING_MILLISECONDS) - SMOOTHING_MILLISECONDS
+        return predicted.coerceAtLeast(expectedMilliseconds * MINIMUM_RATIO)
+    }
+
+    internal companion object {
+        /** Returns the ratio of an actual to an expected time. */
+        fun ratioOf(expectedMilliseconds: Double, actualMilliseconds: Double): Double =
+            (actualMilliseconds + SMOOTHING_MILLISECONDS) / (expectedMilliseconds + SMOOTHING_MILLISECONDS)
+
         /** Added to both times, so that very short ones, which are mostly network delay, give no extreme ratios. */
-        const val SMOOTHING_MILLISECONDS = 40.0
-        const val MINIMUM_RATIO = 0.3
-        const val MAXIMUM_RATIO = 8.0
+        private const val SMOOTHING_MILLISECONDS = 40.0
+        private const val MINIMUM_RATIO = 0.3
+        private const val MAXIMUM_RATIO = 8.0
 
         /** A target that was slow this long ago may have recovered since. */
-        const val OBSERVATION_LIFETIME_MILLISECONDS = 8_000L
+        private const val OBSERVATION_LIFETIME_MILLISECONDS = 8_000L
     }
 }
--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -78,7 +78,7 @@
             val expected = expectedMilliseconds(load, engine, prefill, now)
             val repeatedPrefill = (shared - cached).coerceAtLeast(0) * REPEATED_PREFILL_MILLISECONDS_PER_TOKEN
             val cacheOverflow = if (load.hasCacheCapacityFor(tokens, engine)) 0.0 else CACHE_OVERFLOW_MILLISECONDS
-            val predicted = expected * load.latencyRatio(now) * load.speed.slowdown(now)
+            val predicted = load.predictedMilliseconds(expected, now)
             val cost = predicted + repeatedPrefill + cacheOverflow +
                 load.overdueMilliseconds(now) + load.failureScore(now) * MILLISECONDS_PER_RECENT_FAILURE
             if (cost < bestCost) {
@@ -106,16 +106,25 @@
         val target = candidates.minByOrNull { load ->
             val inFlight = load.inFlightRequests + load.externalRequests(now)
             inFlight / load.entry.slots.coerceAtLeast(1) + load.waitingRequests(now) + load.failureScore(now) +
-                load.overdueMilliseconds(now) / PLAIN_CALL_EXPECTED_MILLISECONDS
+                load.overdueMilliseconds(now) / PLAIN_CALL_EXPECTED_MILLISECONDS +
+                (load.speed.slowdown(now) * load.learnedSlowness.factor(now) - 1) * LOAD_PER_SLOWNESS
         } ?: return null
+        val expected = PLAIN_CALL_EXPECTED_MILLISECONDS * plainCallTurns(target, now)
         return Placement(
             target,
             uncachedTokens = 0,
             prefillMilliseconds = 0.0,
-            expectedMilliseconds = PLAIN_CALL_EXPECTED_MILLISECONDS,
+            expectedMilliseconds = expected,
+            predictedMilliseconds = target.predictedMilliseconds(expected, now),
         )
     }
 
+    /** Returns how many calls one after the other a call waits for, itself included, if all take equally long. */
+    private fun plainCallTurns(load: TargetLoad, now: MonotonicTime): Double {
+        val requests = load.inFlightRequests + load.externalRequests(now) + 1
+        return 1 + (requests - load.slots).coerceAtLeast(0.0) / load.slots
+    }
+
     /** Each running request lengthens every decoding step of the engine. */
     private const val MILLISECONDS_PER_RUNNING_REQUEST = 4.0
     private const val MILLISECONDS_PER_WAITING_REQUEST = 60.0
@@ -131,4 +140,7 @@
 
     /** Expected time of a plain call. Being overdue by this time costs as much as having all slots in use. */
     private const val PLAIN_CALL_EXPECTED_MILLISECONDS = 100.0
+
+    /** A target that takes twice as long costs a call about as much as half of the slots in use. */
+    private const val LOAD_PER_SLOWNESS = 0.5
 }
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -19,6 +19,9 @@
     /** How fast the target works at present, from its own reports. */
     public val speed: TargetSpeed = TargetSpeed()
 
+    /** How fast the target works in general, as learned from its answers. */
+    public val learnedSlowness: LearnedSlowness = LearnedSlowness()
+
     /** Until when the target is cold, as it or the list of targets has stated last. */
     public var coldUntil: MonotonicTime = MonotonicTime.distantPast
 
@@ -77,8 +80,14 @@
         now: MonotonicTime,
     ): InFlightRequest {
         val occupiedTokens = tokens?.worstCaseTokens ?: 0
-        val slowdown = speed.slowdown(now)
-        val request = InFlightRequest(prefillMilliseconds, occupiedTokens, expectedMilliseconds, now, slowdown)
+        val request = InFlightRequest(
+            prefillMilliseconds,
+            occupiedTokens,
+            expectedMilliseconds,
+            sentAt = now,
+            slowdown = speed.slowdown(now),
+            slowness = learnedSlowness.factor(now),
+        )
         inFlightRequests++
         awaitingFirstEvent += request
         pendingPrefillMilliseconds += request.prefillMilliseconds
@@ -100,12 +109,16 @@
     /** Returns the predicted milliseconds until the prefill of all prompts known to be at the target is done. */
     public fun backlogMilliseconds(now: MonotonicTime): Double {
         val oldest = awaitingFirstEvent.firstOrNull()
-        val ownBacklog = if (oldest == null) 0.0 else pendingPrefillMilliseconds - now.millisecondsSince(oldest.sentAt)
+        val ownBacklog = if (oldest == null) 0.0 else pendingPrefillMilliseconds - doneSince(oldest.sentAt, now)
         return ownBacklog.coerceAtLeast(0.0) + announcedBacklogMilliseconds(now)
     }
 
     private fun announcedBacklogMilliseconds(now: MonotonicTime): Double =
-        (announcedMilliseconds - now.millisecondsSince(announcedAt)).coerceAtLeast(0.0)
+        (announcedMilliseconds - doneSince(announcedAt, now)).coerceAtLeast(0.0)
+
+    /** Returns the milliseconds that a target of usual speed takes for the work of this one from [start] to [now]. */
+    private fun doneSince(start: MonotonicTime, now: MonotonicTime): Double =
+        now.millisecondsSince(start) / (speed.slowdown(now) * learnedSlowness.factor(now))
 
     /** Records the first event of [request] at [now], or, if [now] is null, that none will come. */
     public fun recordFirstEvent(request: InFlightRequest, now: MonotonicTime?) {
@@ -115,9 +128,11 @@
         pendingPrefillMilliseconds -= request.prefillMilliseconds
         if (now != null) {
             val actual = now.millisecondsSince(request.sentAt).toDouble()
-            // The slowdown that the target states is left out of what is learned, so that it counts once.
-            val slowdown = (request.slowdown + speed.slowdown(now)) / 2
-            latencyRatioEstimate.observe(request.expectedMilliseconds * slowdown, actual, now)
+            // What the target states is left out of what is learned, and that out of the recent ratio, so that each
+            // counts once.
+            val usual = request.expectedMilliseconds * (request.slowdown + speed.slowdown(now)) / 2
+            latencyRatioEstimate.observe(usual * request.slowness, actual, now)
+            learnedSlowness.observe(usual, actual, now)
         }
     }
 
@@ -152,6 +167,10 @@
     /** Returns the waiting requests of the last load report; their number decays with the report's age. */
     public fun waitingRequests(now: MonotonicTime): Double = reportedWaitingRequests * reportWeight(now)
 
+    /** Returns the time to the first event at the target's present speed; [expectedMilliseconds] at the usual one. */
+    public fun predictedMilliseconds(expectedMilliseconds: Double, now: MonotonicTime): Double =
+        latencyRatioEstimate.predict(expectedMilliseconds * speed.slowdown(now) * learnedSlowness.factor(now), now)
+
     /** Returns the recent ratio of the actual to the predicted time to the first event. */
     public fun latencyRatio(now: MonotonicTime): Double = latencyRatioEstimate.ratioAt(now)
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
@@ -18,6 +18,7 @@
 import org.heatherwind.core.work.TokenDemand
 import org.heatherwind.gateway.telemetry.DecisionLog
 import java.net.InetSocketAddress
+import kotlin.math.roundToInt
 
 /**
  * Exchanges announcements of long prompts with other routers, by datagrams. Load reports of targets arrive with a
@@ -50,6 +51,9 @@
             target = placement.target.entry.id.value,
             prefillMilliseconds = placement.prefillMilliseconds.toLong(),
             parts = tokens.sharedParts.map { AnnouncedPart(it.key, it.tokens) },
+            slownessPercent = placement.target.learnedSlowness.ownFactor(clock.now())?.let {
+                (it * PERCENT).roundToInt()
+            },
         )
         val bytes = Json.encodeToString(PlacementAnnouncement.serializer(), announcement).encodeToByteArray()
         val receivers = peers().let { if (it.size > MAXIMUM_PEERS) it.shuffled().take(MAXIMUM_PEERS) else it }
@@ -60,6 +64,7 @@
     private fun recordAnnouncement(announcement: PlacementAnnouncement) {
         val load = loadOf(TargetId(announcement.target)) ?: return
         val parts = announcement.parts.map { PromptPart(it.key, it.tokens) }
+        announcement.slownessPercent?.let { load.learnedSlowness.recordStated(it / PERCENT, clock.now()) }
         load.recordAnnounced(announcement.prefillMilliseconds.toDouble(), parts, clock.now())
     }
 
@@ -67,7 +72,7 @@
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             val text = packet.content().toString(Charsets.UTF_8)
             try {
-                recordAnnouncement(Json.decodeFromString(PlacementAnnouncement.serializer(), text))
+                recordAnnouncement(json.decodeFromString(PlacementAnnouncement.serializer(), text))
             } catch (failure: SerializationException) {
                 log.stateChange(
                     "placement",
@@ -85,6 +90,10 @@
     }
 
     private companion object {
+        /** Routers of another version may announce more. */
+        val json = Json { ignoreUnknownKeys = true }
+        const val PERCENT = 100.0
+
         /** Shorter prefills delay other requests by less than the normal latency difference between targets. */
         const val MINIMUM_PREFILL_MILLISECONDS = 15.0
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -259,7 +259,10 @@
 
             isEventStream(response) -> forwardEvents(connection, response)
 
-            else -> forwardBody(connection, response)
+            else -> {
+                recordFirstEvent()
+                forwardBody(connection, response)
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -234,6 +234,9 @@
         "backlogMilliseconds" to placement.target.backlogMilliseconds(context.clock.now()).toLong(),
         "openRequests" to placement.target.inFlightRequests,
         "pace" to placement.target.latencyRatio(context.clock.now()),
+        "predictedMilliseconds" to placement.predictedMilliseconds.toLong(),
+        "slowdown" to placement.target.speed.slowdown(context.clock.now()),
+        "slowness" to placement.target.learnedSlowness.factor(context.clock.now()),
         "planVersion" to context.state.routes?.plan?.version,
     )
 
