Choose among targets by lateness and data centre, and let routers spread

Cause: a shared part's target was kept when its first event was going to be late; routers that saw targets alike all chose the first of the list; a target next to the router counted as much as one in another data centre. The settings' data centre is read, and a target elsewhere costs some milliseconds more; shared parts are still read once in the fleet. A small reluctance is drawn for each target and choice. Slots come from the target's report.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -34,6 +34,7 @@
      * @param connectionsPerTarget limit on this router's in-flight requests on one target
      * @param isSharedCacheAssumed whether the target that all routers prefer for shared prompt parts is assumed to
      *   have them cached, which does not hold for targets that only a share of the requests reaches
+     * @param aims what the choice should keep to where it can
      */
     public fun choose(
         candidates: List<TargetLoad>,
@@ -43,6 +44,7 @@
         connectionsPerTarget: Int,
         now: MonotonicTime,
         isSharedCacheAssumed: Boolean = true,
+        aims: PlacementAims = PlacementAims(),
     ): Placement? {
         val available = candidates.filter {
             it.isOpen(now) && it.entry.id !in excluded && it.inFlightRequests < connectionsPerTarget
@@ -50,9 +52,9 @@
         val eligible = available.filterNot { it.isSuspected(now) }.ifEmpty { available }
         if (eligible.isEmpty()) return null
         return if (engine != null && tokens != null) {
-            chooseForGeneration(eligible, engine, tokens, now, isSharedCacheAssumed)
+            chooseForGeneration(eligible, engine, tokens, now, isSharedCacheAssumed, aims)
         } else {
-            chooseForPlainCall(eligible, now)
+            chooseForPlainCall(eligible, now, aims)
         }
     }
 
@@ -62,6 +64,7 @@
         tokens: TokenDemand,
         now: MonotonicTime,
         isSharedCacheAssumed: Boolean,
+        aims: PlacementAims,
     ): Placement? {
         // All routers prefer the same target for shared prompt parts, so it is assumed to have them cached.
         val preferred = tokens.sharedParts.lastOrNull()?.key?.let { key ->
@@ -80,7 +83,9 @@
             val cacheOverflow = if (load.hasCacheCapacityFor(tokens, engine)) 0.0 else CACHE_OVERFLOW_MILLISECONDS
             val predicted = load.predictedMilliseconds(expected, now)
             val cost = predicted + repeatedPrefill + cacheOverflow +
-                load.overdueMilliseconds(now) + load.failureScore(now) * MILLISECONDS_PER_RECENT_FAILURE
+                load.overdueMilliseconds(now) + load.failureScore(now) * MILLISECONDS_PER_RECENT_FAILURE +
+                aims.latenessMilliseconds(predicted, now) + crossingMilliseconds(load, tokens, aims) +
+                load.drawReluctance() * RELUCTANCE_MILLISECONDS
             if (cost < bestCost) {
                 bestCost = cost
                 best = Placement(load, uncached, prefill, expected, predicted)
@@ -89,6 +94,13 @@
         return best
     }
 
+    private fun crossingMilliseconds(load: TargetLoad, tokens: TokenDemand, aims: PlacementAims): Double =
+        if (aims.isElsewhere(load)) {
+            ELSEWHERE_MILLISECONDS + tokens.prompt * ELSEWHERE_MILLISECONDS_PER_TOKEN
+        } else {
+            0.0
+        }
+
     private fun expectedMilliseconds(
         load: TargetLoad,
         engine: EngineProfile,
@@ -102,12 +114,17 @@
             (load.waitingRequests(now) + excess) * MILLISECONDS_PER_WAITING_REQUEST
     }
 
-    private fun chooseForPlainCall(candidates: List<TargetLoad>, now: MonotonicTime): Placement? {
+    private fun chooseForPlainCall(
+        candidates: List<TargetLoad>,
+        now: MonotonicTime,
+        aims: PlacementAims,
+    ): Placement? {
         val target = candidates.minByOrNull { load ->
             val inFlight = load.inFlightRequests + load.externalRequests(now)
-            inFlight / load.entry.slots.coerceAtLeast(1) + load.waitingRequests(now) + load.failureScore(now) +
+            inFlight / load.slots + load.waitingRequests(now) + load.failureScore(now) +
                 load.overdueMilliseconds(now) / PLAIN_CALL_EXPECTED_MILLISECONDS +
-                (load.speed.slowdown(now) * load.learnedSlowness.factor(now) - 1) * LOAD_PER_SLOWNESS
+                (load.speed.slowdown(now) - 1) * LOAD_PER_SLOWDOWN +
+                (if (aims.isElsewhere(load)) ELSEWHERE_LOAD else 0.0) + load.drawReluctance() * RELUCTANCE_LOAD
         } ?: return null
         val expected = PLAIN_CALL_EXPECTED_MILLISECONDS * plainCallTurns(target, now)
         return Placement(
@@ -142,5 +159,19 @@
     private const val PLAIN_CALL_EXPECTED_MILLISECONDS = 100.0
 
     /** A target that takes twice as long costs a call about as much as half of the slots in use. */
-    private const val LOAD_PER_SLOWNESS = 0.5
+    private const val LOAD_PER_SLOWDOWN = 0.5
+
+    /** About the time between two data centres, there and back. */
+    private const val ELSEWHERE_MILLISECONDS = 4.0
+
+    /**
+     * Cost of the bytes that a request takes to another data centre. It is far below the cost of reading a shared part
+     * again, so these are read once in the fleet and not once in each data centre.
+     */
+    private const val ELSEWHERE_MILLISECONDS_PER_TOKEN = 0.001
+    private const val ELSEWHERE_LOAD = 0.15
+
+    /** Differences in cost below these say little, with reports that are some hundreds of milliseconds old. */
+    private const val RELUCTANCE_MILLISECONDS = 10.0
+    private const val RELUCTANCE_LOAD = 0.15
 }
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -7,8 +7,13 @@
 import org.heatherwind.core.work.PromptPart
 import org.heatherwind.core.work.TokenDemand
 
-/** This router's view of one target's load and health. Confined to one thread. */
-public class TargetLoad(public var entry: TargetEntry) {
+/**
+ * This router's view of one target's load and health. Confined to one thread.
+ *
+ * @property drawReluctance draws a number from 0 to 1 for one choice, so that routers that see targets alike don't all
+ *   choose the same one, and a router goes on trying each of them
+ */
+public class TargetLoad(public var entry: TargetEntry, public val drawReluctance: () -> Double = { 0.0 }) {
     private val awaitingFirstEvent = LinkedHashSet<InFlightRequest>()
     private val prefixCache = PrefixCacheEstimate(PREFIX_CACHE_CAPACITY_TOKENS)
     private val latencyRatioEstimate = LatencyRatioEstimate(LATENCY_RATIO_WEIGHT)
--- a/core/src/test/kotlin/org/heatherwind/core/placement/PredictionTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/PredictionTest.kt
@@ -51,7 +51,7 @@
             val now = MonotonicTime(at)
             val placement = checkNotNull(PlacementPolicy.choose(listOf(load), engine, tokens, emptySet(), 99, now))
             val request = load.recordSent(tokens, placement.prefillMilliseconds, placement.expectedMilliseconds, now)
-            val end = target.read(prefill, at).roundToLong()
+            val end = target.read(tokens, at).roundToLong()
             pending += end to request
             abs(placement.predictedMilliseconds - (end - at)) / (end - at)
         }.drop(20)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -203,6 +203,7 @@
                     crashes = crashes,
                     responseMemory = responseMemory,
                     liveRouterCount = { peerReports.liveCount() },
+                    dataCentre = settings.dataCentre,
                     stopDeadline = { plannedStop.get()?.deadlineAt(clock.now()) },
                 ),
             ),
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewaySettings.kt
@@ -1,5 +1,6 @@
 package org.heatherwind.gateway
 
+import org.heatherwind.core.identity.DataCentreId
 import org.heatherwind.core.identity.InstanceId
 import java.net.InetSocketAddress
 
@@ -13,6 +14,7 @@
  * @property partitionsPerStream number of partitions that the store has for each stream
  * @property exposureLimit share of a service's requests that a new version may get before its roll-out is completed
  * @property targetDrainMilliseconds time from the entry of a target that drains until it may get no more requests
+ * @property dataCentre where this router runs, or null if that is not known
  */
 public data class GatewaySettings(
     val instance: InstanceId,
@@ -28,6 +30,7 @@
     val partitionsPerStream: Int,
     val targetDrainMilliseconds: Long = 2_000,
     val exposureLimit: Double = 0.1,
+    val dataCentre: DataCentreId? = null,
 )
 
 /**
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
+import org.heatherwind.core.identity.DataCentreId
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.ServiceId
@@ -31,6 +32,7 @@
  *
  * @property responseMemory limits the bytes that are held for responses of targets
  * @property liveRouterCount returns the number of live routers
+ * @property dataCentre where this router runs, or null if that is not known
  * @property stopDeadline returns when the requests in progress are ended, or null while the router takes new ones
  */
 internal class ServeContext(
@@ -50,6 +52,7 @@
     val stopDeadline: () -> MonotonicTime? = { null },
     val notices: TargetNotices = TargetNotices(clock, log, metrics),
     val responseTimeouts: ResponseTimeoutPolicy = ResponseTimeoutPolicy(),
+    val dataCentre: DataCentreId? = null,
 )
 
 /** Serves callers' requests: admission, token reservation, attempts on targets, and the final response. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -4,6 +4,7 @@
 import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.placement.Placement
+import org.heatherwind.core.placement.PlacementAims
 import org.heatherwind.core.placement.PlacementPolicy
 import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.placement.UrgencyPolicy
@@ -168,12 +169,19 @@
             connectionsPerTarget = connections.toInt().coerceAtLeast(MINIMUM_CONNECTIONS),
             now = context.clock.now(),
             isSharedCacheAssumed = isSharedCacheAssumed,
+            aims = aims(),
         )
     }
 
+    private fun aims(): PlacementAims {
+        val objective = work.route.latencyObjectiveMilliseconds
+        return PlacementAims(work.receivedAt.plusMilliseconds(objective), objective, context.dataCentre)
+    }
+
     private fun newAttempt(placement: Placement): TargetAttempt {
         triedTargets += placement.target.entry.id
         context.metrics.countSend(service.value, isFirst = sentAttempts == 0 && !progress.mayHaveRun)
+        if (aims().isElsewhere(placement.target)) context.metrics.countSendElsewhere(service.value)
         logChoice(placement)
         work.tokens?.let { context.announcements.announce(placement, it) }
         return TargetAttempt(
@@ -235,6 +243,7 @@
         "openRequests" to placement.target.inFlightRequests,
         "pace" to placement.target.latencyRatio(context.clock.now()),
         "predictedMilliseconds" to placement.predictedMilliseconds.toLong(),
+        "isElsewhere" to aims().isElsewhere(placement.target),
         "slowdown" to placement.target.speed.slowdown(context.clock.now()),
         "slowness" to placement.target.learnedSlowness.factor(context.clock.now()),
         "planVersion" to context.state.routes?.plan?.version,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -10,6 +10,7 @@
 import org.heatherwind.core.target.TargetAvailability
 import org.heatherwind.core.target.TargetDirectory
 import org.heatherwind.core.target.TargetEntry
+import kotlin.random.Random
 
 /** This router's state of the fleet: routes, targets and their load. Confined to the event loop. */
 internal class FleetState {
@@ -60,7 +61,7 @@
         updated.entries.forEach { (id, entry) ->
             val existing = loads[id]
             if (existing == null || !existing.entry.isSameProcessAs(entry)) {
-                loads[id] = TargetLoad(entry).apply { availability = lastAvailabilityOf(entry, existing) }
+                loads[id] = TargetLoad(entry, Random.Default::nextDouble).apply { availability = lastAvailabilityOf(entry, existing) }
             } else {
                 existing.entry = entry
             }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -47,6 +47,9 @@
     private val invalidLoads = Counter.builder().name("heatherwind_target_loads_invalid_total")
         .help("Load reports of targets with figures that were ignored, by service.")
         .labelNames("service").register(registry)
+    private val sendsElsewhere = Counter.builder().name("heatherwind_sends_elsewhere_total")
+        .help("Requests sent to targets in another data centre, by service.")
+        .labelNames("service").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -65,6 +68,11 @@
         sends.labelValues(service, if (isFirst) "first" else "repeated").inc()
     }
 
+    /** Counts a request sent to a target of [service] in another data centre than the router's. */
+    public fun countSendElsewhere(service: String) {
+        sendsElsewhere.labelValues(service).inc()
+    }
+
     /** Records the time from the arrival of a request of [route] to the first chunk of its response. */
     public fun observeFirstChunk(route: String, milliseconds: Long) {
         firstChunk.labelValues(route).observe(milliseconds / MILLISECONDS_PER_SECOND)
