--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -7,8 +7,13 @@
 import org.heatherwind.core.work.PromptPart
 import org.heatherwind.core.work.TokenDemand
 
-/** This router's view of one target's load and health. Confined to one thread. */
-public class TargetLoad(public var entry: TargetEntry) {
+/**
+ * This router's view of one target's load and health. Confined to one thread.
+ *
+ * @property drawReluctance draws a number from 0 to 1 for one choice, so that routers that see targets alike don't all
+ *   choose the same one, and a router goes on trying each of them
+ */
+public class TargetLoad(public var entry: TargetEntry, public val drawReluctance: () -> Double = { 0.0 }) {
     private val awaitingFirstEvent = LinkedHashSet<InFlightRequest>()
     private val prefixCache = PrefixCacheEstimate(PREFIX_CACHE_CAPACITY_TOKENS)
     private val latencyRatioEstimate = LatencyRatioEstimate(LATENCY_RATIO_WEIGHT)
@@ -19,6 +24,9 @@
     /** How fast the target works at present, from its own reports. */
     public val speed: TargetSpeed = TargetSpeed()
 
+    /** How fast the target works in general, as learned from its answers. */
+    public val learnedSlowness: LearnedSlowness = LearnedSlowness()
+
     /** Until when the target is cold, as it or the list of targets has stated last. */
     public var coldUntil: MonotonicTime = MonotonicTime.distantPast
 
@@ -30,12 +38,16 @@
     private var announcedMilliseconds = 0.0
     private var announcedAt = MonotonicTime.distantPast
 
+    /** Requests that the target runs at once, as it has stated last. */
+    public val slots: Int get() = (reportedSlots ?: entry.slots).coerceAtLeast(1)
+
     /** Tokens that this router's in-flight requests may occupy in the target's cache. */
     public var occupiedTokens: Long = 0
         private set
 
     private var reportedExternalRequests: Double = 0.0
     private var reportedWaitingRequests: Int = 0
+    private var reportedSlots: Int? = null
     private var reportedAt: MonotonicTime = MonotonicTime.distantPast
     private var consecutiveFailures: Int = 0
     private var lastFailureScore: Double = 0.0
@@ -72,11 +84,19 @@
         expectedMilliseconds: Double,
         now: MonotonicTime,
     ): InFlightRequest {
-        val request = InFlightRequest(prefillMilliseconds, tokens?.worstCaseTokens ?: 0, expectedMilliseconds, now)
+        val occupiedTokens = tokens?.worstCaseTokens ?: 0
+        val request = InFlightRequest(
+            prefillMilliseconds,
+            occupiedTokens,
+            expectedMilliseconds,
+            sentAt = now,
+            slowdown = speed.slowdown(now),
+            slowness = learnedSlowness.factor(now),
+        )
         inFlightRequests++
         awaitingFirstEvent += request
         pendingPrefillMilliseconds += request.prefillMilliseconds
-        occupiedTokens += request.occupiedTokens
+        this.occupiedTokens += request.occupiedTokens
         if (tokens != null) prefixCache.recordPrompt(tokens.parts)
         return request
     }
@@ -94,12 +114,16 @@
     /** Returns the predicted milliseconds until the prefill of all prompts known to be at the target is done. */
     public fun backlogMilliseconds(now: MonotonicTime): Double {
         val oldest = awaitingFirstEvent.firstOrNull()
-        val ownBacklog = if (oldest == null) 0.0 else pendingPrefillMilliseconds - now.millisecondsSince(oldest.sentAt)
+        val ownBacklog = if (oldest == null) 0.0 else pendingPrefillMilliseconds - doneSince(oldest.sentAt, now)
         return ownBacklog.coerceAtLeast(0.0) + announcedBacklogMilliseconds(now)
     }
 
     private fun announcedBacklogMilliseconds(now: MonotonicTime): Double =
-        (announcedMilliseconds - now.millisecondsSince(announcedAt)).coerceAtLeast(0.0)
+        (announcedMilliseconds - doneSince(announcedAt, now)).coerceAtLeast(0.0)
+
+    /** Returns the milliseconds that a target of usual speed takes for the work of this one from [start] to [now]. */
+    private fun doneSince(start: MonotonicTime, now: MonotonicTime): Double =
+        now.millisecondsSince(start) / (speed.slowdown(now) * learnedSlowness.factor(now))
 
     /** Records the first event of [request] at [now], or, if [now] is null, that none will come. */
     public fun recordFirstEvent(request: InFlightRequest, now: MonotonicTime?) {
@@ -109,7 +133,11 @@
         pendingPrefillMilliseconds -= request.prefillMilliseconds
         if (now != null) {
             val actual = now.millisecondsSince(request.sentAt).toDouble()
-            latencyRatioEstimate.observe(request.expectedMilliseconds, actual, now)
+            // What the target states is left out of what is learned, and that out of the recent ratio, so that each
+            // counts once.
+            val usual = request.expectedMilliseconds * (request.slowdown + speed.slowdown(now)) / 2
+            latencyRatioEstimate.observe(usual * request.slowness, actual, now)
+            learnedSlowness.observe(usual, actual, now)
         }
     }
 
@@ -120,11 +148,22 @@
         occupiedTokens -= request.occupiedTokens
     }
 
-    /** Records the target's load report, received at [now]: its [running] and [waiting] requests of all routers. */
-    public fun recordLoadReport(running: Int, waiting: Int, now: MonotonicTime) {
-        reportedExternalRequests = (running + waiting - inFlightRequests).coerceAtLeast(0).toDouble()
+    /**
+     * Records the target's load report, received at [now]: its [running] and [waiting] requests of all routers, and, if
+     * it states them, its [slots] and the [slowdown] of its work at present.
+     */
+    public fun recordLoadReport(
+        running: Int,
+        waiting: Int,
+        now: MonotonicTime,
+        slots: Int? = null,
+        slowdown: Double? = null,
+    ) {
+        reportedExternalRequests = (running.toDouble() + waiting - inFlightRequests).coerceAtLeast(0.0)
         reportedWaitingRequests = waiting
+        reportedSlots = slots
         reportedAt = now
+        slowdown?.let { speed.recordReport(it, now) }
     }
 
     /** Returns the external requests of the last load report; their number decays with the report's age. */
@@ -133,6 +172,10 @@
     /** Returns the waiting requests of the last load report; their number decays with the report's age. */
     public fun waitingRequests(now: MonotonicTime): Double = reportedWaitingRequests * reportWeight(now)
 
+    /** Returns the time to the first event at the target's present speed; [expectedMilliseconds] at the usual one. */
+    public fun predictedMilliseconds(expectedMilliseconds: Double, now: MonotonicTime): Double =
+        latencyRatioEstimate.predict(expectedMilliseconds * speed.slowdown(now) * learnedSlowness.factor(now), now)
+
     /** Returns the recent ratio of the actual to the predicted time to the first event. */
     public fun latencyRatio(now: MonotonicTime): Double = latencyRatioEstimate.ratioAt(now)
 
