Find the pace of targets that have started or recovered

Cause: a target that has just started or recovered looks empty to every router, so all send to it at once, or none does until a suspicion ends. Nothing bounds what a cold target gets. Change: TargetPace opens a window by how answers compare with what was predicted; routers take turns in the target's rendezvous order; a ceiling of shares holds for cold targets.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -26,7 +26,8 @@
 public object PlacementPolicy {
     /**
      * Returns the target with the lowest cost, which is mainly the expected time to the first event, or null if no
-     * target can take the request. Suspected targets are chosen only if there are no others.
+     * target can take the request. Suspected targets, and those held back for their pace, are chosen only if there are
+     * no others.
      *
      * @param engine the service's engine, or null for a plain service
      * @param tokens the size of a generation, or null for a plain call
@@ -47,7 +48,8 @@
         val available = candidates.filter {
             it.isOpen(now) && it.entry.id !in excluded && it.inFlightRequests < connectionsPerTarget
         }
-        val eligible = available.filterNot { it.isSuspected(now) }.ifEmpty { available }
+        val unsuspected = available.filterNot { it.isSuspected(now) }.ifEmpty { available }
+        val eligible = unsuspected.filterNot { it.isHeldBack(now) }.ifEmpty { unsuspected }
         if (eligible.isEmpty()) return null
         return if (engine != null && tokens != null) {
             chooseForGeneration(eligible, engine, tokens, now, isSharedCacheAssumed)
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -7,14 +7,14 @@
 import org.heatherwind.core.work.PromptPart
 import org.heatherwind.core.work.TokenDemand
 
-/** This router's view of one target's load and health. Confined to one thread. */
-public class TargetLoad(public var entry: TargetEntry) {
+/** This router's view of one target's load and health; [paceSharing] is its service's. Confined to one thread. */
+public class TargetLoad(public var entry: TargetEntry, paceSharing: PaceSharing = PaceSharing()) {
     private val awaitingFirstEvent = LinkedHashSet<InFlightRequest>()
     private val prefixCache = PrefixCacheEstimate(PREFIX_CACHE_CAPACITY_TOKENS)
     private val latencyRatioEstimate = LatencyRatioEstimate(LATENCY_RATIO_WEIGHT)
 
     /** Limits what the target gets while it has just started or recovered. */
-    public val pace: TargetPace = TargetPace()
+    public val pace: TargetPace = TargetPace(entry.id, { entry.slots }, paceSharing)
 
     /** How fast the target works at present, from its own reports. */
     public val speed: TargetSpeed = TargetSpeed()
@@ -47,6 +47,10 @@
 
     /** What the target has stated in its answers about further requests. */
     public var availability: TargetAvailability = TargetAvailability()
+        set(value) {
+            if (value.closedUntil > field.closedUntil) pace.begin(PaceCause.PAUSE_ENDED, value.closedUntil)
+            field = value
+        }
 
     /** Whether another target responded at the address. Stays true until the list of targets contains the new one. */
     public var isReplaced: Boolean = false
@@ -54,7 +58,10 @@
 
     /** Returns whether the target may get another request of this router at [now], suspicions aside. */
     public fun isOpen(now: MonotonicTime): Boolean = !isReplaced && availability.isOpen(now) &&
-        pace.isOpen(inFlightRequests, now)
+        pace.isWithinCeiling(coldUntil, now)
+
+    /** Returns whether the target should get no requests at [now] for its pace, while another one is available. */
+    public fun isHeldBack(now: MonotonicTime): Boolean = !pace.isOpen(inFlightRequests, now)
 
     /** Returns the cached prefix tokens of a prompt, as estimated from the prompts known to have been sent here. */
     public fun cachedTokens(tokens: TokenDemand): Long = prefixCache.cachedTokens(tokens.parts)
@@ -110,6 +117,7 @@
         if (now != null) {
             val actual = now.millisecondsSince(request.sentAt).toDouble()
             latencyRatioEstimate.observe(request.expectedMilliseconds, actual, now)
+            pace.recordAnswer(request, actual, now)
         }
     }
 
@@ -150,12 +158,14 @@
     public fun recordSuccess(now: MonotonicTime) {
         consecutiveFailures = 0
         suspectedUntil = MonotonicTime.distantPast
+        pace.recordSuccess(now)
         lastFailureScore = failureScore(now) * SUCCESS_RETENTION
         lastFailureScoreAt = now
     }
 
     /** Records an error response. A partially failed target may send these while its health check passes. */
     public fun recordErrorResponse(now: MonotonicTime) {
+        pace.recordFailure(now)
         lastFailureScore = failureScore(now) + 1
         lastFailureScoreAt = now
     }
@@ -167,6 +177,7 @@
 
     /** Records an overload rejection at [now]: the target is full, regardless of its last load report. */
     public fun recordOverload(now: MonotonicTime) {
+        pace.recordFailure(now)
         reportedWaitingRequests = maxOf(reportedWaitingRequests, 1)
         reportedAt = now
         suspectedUntil = maxOf(suspectedUntil, now.plusMilliseconds(OVERLOAD_PAUSE_MILLISECONDS))
@@ -179,6 +190,7 @@
         lastFailureScoreAt = now
         val doublings = (consecutiveFailures - 1).coerceAtMost(MAXIMUM_SUSPICION_DOUBLINGS)
         suspectedUntil = now.plusMilliseconds(INITIAL_SUSPICION_MILLISECONDS shl doublings)
+        pace.begin(PaceCause.SUSPICION_ENDED, suspectedUntil)
     }
 
     /** Returns whether the target should get no requests at [now] while another target is available. */
--- a/core/src/main/kotlin/org/heatherwind/core/routing/Rendezvous.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/routing/Rendezvous.kt
@@ -15,6 +15,17 @@
         members.map { Candidate(it, name(it), weight(key, name(it))) }
             .maxWithOrNull(compareBy<Candidate<M>> { it.weight }.thenByDescending { it.name })?.member
 
+    /** Returns the position of [member] among itself and [others] in the order in which they should serve [key]. */
+    public fun <M> position(key: String, member: M, others: Collection<M>, name: (M) -> String): Int {
+        val ownName = name(member)
+        val ownWeight = weight(key, ownName)
+        return others.count { other ->
+            val otherName = name(other)
+            val otherWeight = weight(key, otherName)
+            otherWeight > ownWeight || (otherWeight == ownWeight && otherName < ownName)
+        }
+    }
+
     /** Returns the index of the ledger shard of [budget] among [shards] shards. */
     public fun shardOf(budget: BudgetId, shards: Int): Int = partitionOf(budget.value, shards)
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -17,8 +17,10 @@
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.core.identity.WallClock
+import org.heatherwind.core.placement.ColdCeiling
 import org.heatherwind.core.retry.RetryThrottleLimits
 import org.heatherwind.core.rollout.RolloutPolicy
 import org.heatherwind.gateway.caller.CallerContext
@@ -67,6 +69,7 @@
 import org.heatherwind.gateway.state.RetryThrottles
 import org.heatherwind.gateway.state.StreamFollower
 import org.heatherwind.gateway.state.StreamSubscriber
+import org.heatherwind.gateway.state.TargetPaces
 import org.heatherwind.gateway.state.TargetSubscriber
 import org.heatherwind.gateway.store.RecordStore
 import org.heatherwind.gateway.store.StreamPartition
@@ -100,7 +103,14 @@
     }
     private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher() + exceptionHandler)
     private val eventLoopDelay = EventLoopDelay(log)
-    private val state = FleetState()
+    private val paces: TargetPaces = TargetPaces(
+        self = self.instance,
+        log = log,
+        routers = { peerReports.possibleRouters },
+        isKnownToOthers = { peerReports.isKnownToOthers },
+        coldCeilingOf = { coldCeilingOf(it) },
+    )
+    private val state: FleetState = FleetState { paces.sharingOf(it) }
     private val stopped = CompletableDeferred<Unit>()
     private val client = TargetClient(eventLoop, clock)
     private val peerClient = PeerClient(SimpleHttpClient(eventLoop, clock), log)
@@ -353,7 +363,17 @@
 
     private fun readiness(): SimpleResponse = SimpleResponse(if (isReady()) OK else UNAVAILABLE, ByteArray(0))
 
+    private fun coldCeilingOf(service: ServiceId): ColdCeiling? = state.routes?.plan?.services?.get(service)
+        ?.coldRequestsPerSecond?.let { ColdCeiling(it, COLD_OVERAGE, COLD_SLACK) }
+
     private fun registerGauges() {
+        metrics.gaugeByService("heatherwind_paced_targets", "Targets whose pace is limited at present, by service.") {
+            state.limitedTargets
+        }
+        metrics.gaugeByService(
+            "heatherwind_targets_passed_over",
+            "Times since the start that a target was passed over for its pace, by service.",
+        ) { paces.passedOverCounts }
         metrics.gauge("heatherwind_caller_connections", "Open connections of callers.") {
             listener.connectionCount.toDouble()
         }
@@ -383,6 +403,10 @@
         const val MILLISECONDS_PER_SECOND = 1_000.0
         const val BYTES_PER_MEGABYTE = 1_048_576L
 
+        /** Cold targets get what they bear, and no more in any second. */
+        const val COLD_OVERAGE = 1.0
+        const val COLD_SLACK = 0.0
+
         /** Request bodies may use one eighth of the process's memory. */
         const val BODY_MEMORY_DIVISOR = 8
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -90,8 +90,8 @@
         val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
         connection = client.connect(target, isRepeatable, excluded = progress.connections)
         if (connection != null) {
-            val isOpen = target.availability.isOpen(clock.now())
-            return@ending if (isOpen) null else AttemptResult.NotSent("the target wants no requests")
+            val isOpen = target.isOpen(clock.now())
+            return@ending if (isOpen) null else AttemptResult.NotSent("the target may get no request now")
         }
         target.recordConnectionFailure(clock.now())
         client.closeIdle(target)
@@ -110,6 +110,7 @@
         val headers = protocol.targetHeaders(request.head.headers(), instruction)
         val connection = checkNotNull(connection)
         progress.recordSent()
+        target.pace.recordSent(clock.now())
         progress.connections += connection
         connection.send(request.head.method(), request.head.uri(), headers, request.body)
         extendProgress(hasStarted = false)
@@ -188,7 +189,10 @@
     private fun recordResult(result: AttemptResult) {
         val now = clock.now()
         when (result) {
-            is AttemptResult.Delivered -> target.recordSuccess(now)
+            is AttemptResult.Delivered -> {
+                recordFirstEvent()
+                target.recordSuccess(now)
+            }
 
             is AttemptResult.Failed -> target.recordErrorResponse(now)
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -6,13 +6,19 @@
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.identity.TargetId
+import org.heatherwind.core.placement.PaceCause
+import org.heatherwind.core.placement.PaceSharing
 import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.target.TargetAvailability
 import org.heatherwind.core.target.TargetDirectory
 import org.heatherwind.core.target.TargetEntry
 
-/** This router's state of the fleet: routes, targets and their load. Confined to the event loop. */
-internal class FleetState {
+/**
+ * This router's state of the fleet: routes, targets and their load. Confined to the event loop.
+ *
+ * @param paceSharingOf returns what the paces of a service's targets share
+ */
+internal class FleetState(private val paceSharingOf: (ServiceId) -> PaceSharing = { PaceSharing() }) {
     private val loads = HashMap<TargetId, TargetLoad>()
 
     /** What removed targets have stated, as far as they want no requests; the last ones only. */
@@ -49,8 +55,8 @@
         return true
     }
 
-    /** Adopts [updated], and discards the recorded load of targets that were removed or restarted. */
-    fun adoptDirectory(updated: TargetDirectory) {
+    /** Adopts [updated], read at [now], and discards the recorded load of targets that were removed or restarted. */
+    fun adoptDirectory(updated: TargetDirectory, now: MonotonicTime = MonotonicTime.distantPast) {
         if (updated === directory) return
         directory = updated
         candidates.clear()
@@ -60,7 +66,10 @@
         updated.entries.forEach { (id, entry) ->
             val existing = loads[id]
             if (existing == null || !existing.entry.isSameProcessAs(entry)) {
-                loads[id] = TargetLoad(entry).apply { availability = lastAvailabilityOf(entry, existing) }
+                loads[id] = TargetLoad(entry, paceSharingOf(entry.service)).apply {
+                    causeOfReturn(entry, existing)?.let { pace.begin(it, now) }
+                    availability = lastAvailabilityOf(entry, existing)
+                }
             } else {
                 existing.entry = entry
             }
@@ -73,6 +82,18 @@
         return earlier?.takeIf { it.entry.isSameLifeAs(entry) }?.availability ?: TargetAvailability()
     }
 
+    /** Returns why the pace of [entry] is to be found, or null if it is one of all targets that are unknown. */
+    private fun causeOfReturn(entry: TargetEntry, existing: TargetLoad?): PaceCause? = when {
+        !isDirectoryRead || existing?.entry?.isSameLifeAs(entry) == true -> null
+        existing == null -> PaceCause.ADDED
+        else -> PaceCause.RESTARTED
+    }
+
+    /** Number of targets whose pace is limited at present, by service. */
+    val limitedTargets: Map<String, Double>
+        get() = loads.values.groupBy { it.entry.service.value }
+            .mapValues { (_, targets) -> targets.count { it.pace.isLimited }.toDouble() }
+
     /** The load of [target], or null if the target is not registered. */
     fun loadOf(target: TargetId): TargetLoad? = loads[target]
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -24,6 +24,9 @@
 
     private var liveCount = 1
     private var nextLiveCountAt = MonotonicTime.distantPast
+    private var knownToOthersAt = MonotonicTime(Long.MAX_VALUE)
+    private var possible: Set<InstanceId>? = null
+    private var nextPossibleRoutersAt = MonotonicTime.distantPast
 
     /** Sums over the reports by customer, which every request needs; computed once for each change of the reports. */
     private val totals = HashMap<CustomerId, CustomerTotals>()
@@ -46,6 +49,25 @@
         return liveCount
     }
 
+    /**
+     * The routers that may send requests, this one included, or null until a report was read; the same set until it
+     * changes. A router that does not report may be cut off from the store only, so it remains for long.
+     */
+    val possibleRouters: Set<InstanceId>?
+        get() {
+            val now = clock.now()
+            if (now >= nextPossibleRoutersAt) {
+                val reporting = latestByInstance.filterValues { wasHeardOf(it) }.keys
+                val routers = if (latestByInstance.isEmpty()) null else reporting + self.instance
+                if (routers != possible) possible = routers
+                nextPossibleRoutersAt = now.plusMilliseconds(LIVE_COUNT_MILLISECONDS)
+            }
+            return possible
+        }
+
+    /** Whether the other routers that read reports know this one, as a report of it or a predecessor is old enough. */
+    val isKnownToOthers: Boolean get() = clock.now() >= knownToOthersAt
+
     /** Tokens of [customer] charged by other holders of grants in [allocation], as last reported. */
     fun usedElsewhere(customer: CustomerId, allocation: BudgetAllocation): Long =
         totalsOf(customer, allocation).usedTokens
@@ -89,6 +111,9 @@
     private fun isFresh(received: ReceivedReport): Boolean =
         minOf(clock.now(), lastReadAt).millisecondsSince(received.receivedAt) < LIVENESS_TIMEOUT_MILLISECONDS
 
+    private fun wasHeardOf(received: ReceivedReport): Boolean =
+        minOf(clock.now(), lastReadAt).millisecondsSince(received.receivedAt) < FORGETTING_MILLISECONDS
+
     /**
      * Returns the witness for this router's ceilings: [current] while it is live, otherwise the next live router in the
      * order of incarnations, or null if there is none.
@@ -131,7 +156,8 @@
         nextLiveCountAt = now
         try {
             val report = versionedJson.decodeFromString(RouterReport.serializer(), value.decodeToString())
-            latestByInstance[InstanceId(record.key)] = ReceivedReport(report, now)
+            val earlier = latestByInstance.put(InstanceId(record.key), ReceivedReport(report, now))
+            if (record.key == self.instance.value && earlier == null) recordFirstOwnReport(report, now)
             onReport(report)
         } catch (failure: IllegalArgumentException) {
             log.stateChange(
@@ -143,6 +169,12 @@
         }
     }
 
+    /** The others learn of a new instance when they read its report, and know the instance of a predecessor. */
+    private fun recordFirstOwnReport(report: RouterReport, now: MonotonicTime) {
+        val isOfPredecessor = report.incarnation != self.value
+        knownToOthersAt = if (isOfPredecessor) now else now.plusMilliseconds(LEARNING_MILLISECONDS)
+    }
+
     private class ReceivedReport(val report: RouterReport, val receivedAt: MonotonicTime) {
         val peerAddress: InetSocketAddress? = report.peerAddress?.let { socketAddressOf(it) }
         val incarnation = Incarnation(report.incarnation)
@@ -160,6 +192,12 @@
         /** Short in comparison with the liveness timeout; every request needs the count several times. */
         const val LIVE_COUNT_MILLISECONDS = 100L
 
+        /** More than twice the time in which a router of a large fleet reads the reports of all. */
+        const val LEARNING_MILLISECONDS = 10_000L
+
+        /** Longer than a router usually serves without the store; until then its shares may be in use. */
+        const val FORGETTING_MILLISECONDS = 600_000L
+
         /** Other routers' charges affect grant sizes and budget levels, which may lag by a few seconds. */
         const val READ_PAUSE_MILLISECONDS = 1_000L
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetSubscriber.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetSubscriber.kt
@@ -17,7 +17,7 @@
 ) : StreamSubscriber {
     override fun onSnapshot(records: List<KeyedRecord>) {
         val now = clock.now()
-        state.adoptDirectory(state.directory.withEntries(records.mapNotNull { parse(it) }, now))
+        state.adoptDirectory(state.directory.withEntries(records.mapNotNull { parse(it) }, now), now)
         state.isDirectoryRead = true
         log.stateChange("targets", "Read all entries of the list of targets.", "count" to state.directory.entries.size)
     }
@@ -44,12 +44,12 @@
                 directory = directory.with(entry)
             }
         }
-        state.adoptDirectory(directory)
+        state.adoptDirectory(directory, now)
     }
 
     override fun onCurrent(now: MonotonicTime, isReconnected: Boolean) {
         val directory = if (isReconnected) state.directory.withContactRegained(now) else state.directory
-        state.adoptDirectory(directory.withoutExpiredRemovals(now))
+        state.adoptDirectory(directory.withoutExpiredRemovals(now), now)
     }
 
     private fun parse(record: KeyedRecord): TargetEntry? {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -104,6 +104,13 @@
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(value()) }.register(registry)
     }
 
+    /** Registers a gauge by service that reads its values from [values] at each scrape. */
+    public fun gaugeByService(name: String, help: String, values: () -> Map<String, Double>) {
+        GaugeWithCallback.builder().name(name).help(help).labelNames("service")
+            .callback { callback -> values().forEach { (service, value) -> callback.call(value, service) } }
+            .register(registry)
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public fun render(): ByteArray {
         val out = ByteArrayOutputStream()
