--- a/core/src/test/kotlin/org/heatherwind/core/placement/TargetPaceTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/TargetPaceTest.kt
@@ -101,6 +101,39 @@
         assertEquals(80, routers.count { it.isOpen(0, MonotonicTime(2_000)) })
     }
 
+    private class Choice(val name: String, val chosen: String?, val change: (List<TargetLoad>) -> Unit)
+
+    private val choices = listOf(
+        Choice("all are usual", chosen = "a") {},
+        Choice("the first has returned and it isn't this router's turn", chosen = "b") { returns(it.take(1)) },
+        Choice("all have returned", chosen = "a") { returns(it) },
+        Choice("the first is cold and this router has no share", chosen = "b") { cools(it.take(1)) },
+        Choice("all are cold and this router has no share", chosen = null) { cools(it) },
+    )
+
+    @TestFactory
+    fun `targets held back for their pace are the last choice, and cold ones without a share none`() =
+        choices.map { choice ->
+            DynamicTest.dynamicTest(choice.name) {
+                val loads = listOf("a", "b").map { id -> TargetLoad(placementEntry(id), sharingWithoutTurn(id)) }
+                choice.change(loads)
+                val placement = PlacementPolicy.choose(loads, null, null, emptySet(), 10, MonotonicTime(0))
+                assertEquals(choice.chosen, placement?.target?.entry?.id?.value)
+            }
+        }
+
+    private fun returns(loads: List<TargetLoad>) = loads.forEach { it.pace.begin(PaceCause.ADDED, MonotonicTime(0)) }
+
+    private fun cools(loads: List<TargetLoad>) = loads.forEach { it.coldUntil = MonotonicTime(1_000) }
+
+    /** Returns the view of a router that comes after more than 10 of 80 others in the order for the target [id]. */
+    private fun sharingWithoutTurn(id: String): PaceSharing {
+        val routers = List(80) { InstanceId("router-$it") }.toSet()
+        return routers.map { self -> PaceSharing(self, { routers }, { ColdCeiling(11.0, 1.5, 5.0) }) }
+            .first { it.placeOf(TargetId(id), routers).position > 10 }
+            .also { sharing -> repeat(100) { sharing.recordSent(MonotonicTime(-it.toLong())) } }
+    }
+
     private fun paceAmong(count: Int, self: Int = 0) = TargetPace(TargetId("target"), { SLOTS }, sharingAmong(count, self))
 
     private fun sharingAmong(count: Int, self: Int = 0, requestsPerSecond: Int = 400): PaceSharing {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -157,7 +157,8 @@
         try {
             val report = versionedJson.decodeFromString(RouterReport.serializer(), value.decodeToString())
             val earlier = latestByInstance.put(InstanceId(record.key), ReceivedReport(report, now))
-            if (record.key == self.instance.value && earlier == null) recordFirstOwnReport(report, now)
+            if (earlier == null) nextPossibleRoutersAt = now
+            if (earlier == null && record.key == self.instance.value) recordFirstOwnReport(report, now)
             onReport(report)
         } catch (failure: IllegalArgumentException) {
             log.stateChange(
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/PeerReportsTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/PeerReportsTest.kt
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertSame
 
 /** Given an odd report, when reports are read, then those beside it are recorded. */
 class PeerReportsTest {
@@ -58,5 +59,52 @@
         assertEquals(listOf("10.0.0.9:7520"), reports.peerAddresses().map { it.hostAndPort })
     }
 
+    private class Start(val name: String, val ownIncarnation: String, val knownAfter: Long)
+
+    private val starts = listOf(
+        Start("a new instance", ownIncarnation = "self@1", knownAfter = 10_000),
+        Start("an instance with a predecessor", ownIncarnation = "self@0", knownAfter = 0),
+    )
+
+    // Guards against routers that use shares of a cold target which others, who don't know them, use as well.
+    @TestFactory
+    fun `given a start when reports are read then the router counts itself as known once the others know it`() =
+        starts.map { start ->
+            DynamicTest.dynamicTest(start.name) {
+                var now = MonotonicTime(1_000)
+                val clock = MonotonicClock { now }
+                val self = Incarnation.of(InstanceId("self"), Timestamp(1))
+                val reports = PeerReports(self, clock, DecisionLog(clock, GatewayMetrics()))
+                assertEquals(null to false, reports.possibleRouters to reports.isKnownToOthers)
+                reports.onRecords(listOf(record("r2", report("10.0.0.9:7520"))))
+                reports.onCurrent(now, isReconnected = false)
+                assertEquals(false, reports.isKnownToOthers)
+                reports.onRecords(listOf(record("self", report("10.0.0.8:7520").replace("odd@1", start.ownIncarnation))))
+                now = now.plusMilliseconds(start.knownAfter - 1)
+                assertEquals(false, reports.isKnownToOthers && start.knownAfter > 0)
+                now = now.plusMilliseconds(1)
+                assertEquals(true, reports.isKnownToOthers)
+                assertEquals(setOf("self", "r2"), reports.possibleRouters?.map { it.value }?.toSet())
+            }
+        }
+
+    // Guards against shares of a router that is cut off from the store, and sends, being used by others as well.
+    @Test
+    fun `given a router that stops to report when a minute passes then it isn't live but keeps its shares`() {
+        var now = MonotonicTime(1_000)
+        val clock = MonotonicClock { now }
+        val self = Incarnation.of(InstanceId("self"), Timestamp(1))
+        val reports = PeerReports(self, clock, DecisionLog(clock, GatewayMetrics()))
+        reports.onRecords(listOf(record("r2", report("10.0.0.9:7520"))))
+        val first = reports.possibleRouters
+        now = now.plusMilliseconds(60_000)
+        reports.onCurrent(now, isReconnected = false)
+        assertEquals(1, reports.liveCount())
+        assertSame(first, reports.possibleRouters)
+        now = now.plusMilliseconds(600_000)
+        reports.onCurrent(now, isReconnected = false)
+        assertEquals(setOf(InstanceId("self")), reports.possibleRouters)
+    }
+
     private fun record(key: String, value: String) = KeyedRecord(offset = 0, key, value.encodeToByteArray())
 }
