--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -12,14 +12,19 @@
  *
  * @property drawReluctance draws a number from 0 to 1 for one choice, so that routers that see targets alike don't all
  *   choose the same one, and a router goes on trying each of them
+ * @param paceSharing what the paces of the service's targets share
  */
-public class TargetLoad(public var entry: TargetEntry, public val drawReluctance: () -> Double = { 0.0 }) {
+public class TargetLoad(
+    public var entry: TargetEntry,
+    paceSharing: PaceSharing = PaceSharing(),
+    public val drawReluctance: () -> Double = { 0.0 },
+) {
     private val awaitingFirstEvent = LinkedHashSet<InFlightRequest>()
     private val prefixCache = PrefixCacheEstimate(PREFIX_CACHE_CAPACITY_TOKENS)
     private val latencyRatioEstimate = LatencyRatioEstimate(LATENCY_RATIO_WEIGHT)
 
     /** Limits what the target gets while it has just started or recovered. */
-    public val pace: TargetPace = TargetPace()
+    public val pace: TargetPace = TargetPace(entry.id, { slots }, paceSharing)
 
     /** How fast the target works at present, from its own reports. */
     public val speed: TargetSpeed = TargetSpeed()
@@ -59,6 +64,10 @@
 
     /** What the target has stated in its answers about further requests. */
     public var availability: TargetAvailability = TargetAvailability()
+        set(value) {
+            if (value.closedUntil > field.closedUntil) pace.begin(PaceCause.PAUSE_ENDED, value.closedUntil)
+            field = value
+        }
 
     /** Whether another target responded at the address. Stays true until the list of targets contains the new one. */
     public var isReplaced: Boolean = false
@@ -66,7 +75,10 @@
 
     /** Returns whether the target may get another request of this router at [now], suspicions aside. */
     public fun isOpen(now: MonotonicTime): Boolean = !isReplaced && availability.isOpen(now) &&
-        pace.isOpen(inFlightRequests, now)
+        pace.isWithinCeiling(coldUntil, now)
+
+    /** Returns whether the target should get no requests at [now] for its pace, while another one is available. */
+    public fun isHeldBack(now: MonotonicTime): Boolean = !pace.isOpen(inFlightRequests, now)
 
     /** Returns the cached prefix tokens of a prompt, as estimated from the prompts known to have been sent here. */
     public fun cachedTokens(tokens: TokenDemand): Long = prefixCache.cachedTokens(tokens.parts)
@@ -138,6 +150,7 @@
             val usual = request.expectedMilliseconds * (request.slowdown + speed.slowdown(now)) / 2
             latencyRatioEstimate.observe(usual * request.slowness, actual, now)
             learnedSlowness.observe(usual, actual, now)
+            pace.recordAnswer(request, actual, now, usual * request.slowness)
         }
     }
 
@@ -193,12 +206,14 @@
     public fun recordSuccess(now: MonotonicTime) {
         consecutiveFailures = 0
         suspectedUntil = MonotonicTime.distantPast
+        pace.recordSuccess(now)
         lastFailureScore = failureScore(now) * SUCCESS_RETENTION
         lastFailureScoreAt = now
     }
 
     /** Records an error response. A partially failed target may send these while its health check passes. */
     public fun recordErrorResponse(now: MonotonicTime) {
+        pace.recordFailure(now)
         lastFailureScore = failureScore(now) + 1
         lastFailureScoreAt = now
     }
@@ -210,6 +225,7 @@
 
     /** Records an overload rejection at [now]: the target is full, regardless of its last load report. */
     public fun recordOverload(now: MonotonicTime) {
+        pace.recordFailure(now)
         reportedWaitingRequests = maxOf(reportedWaitingRequests, 1)
         reportedAt = now
         suspectedUntil = maxOf(suspectedUntil, now.plusMilliseconds(OVERLOAD_PAUSE_MILLISECONDS))
@@ -222,6 +238,7 @@
         lastFailureScoreAt = now
         val doublings = (consecutiveFailures - 1).coerceAtMost(MAXIMUM_SUSPICION_DOUBLINGS)
         suspectedUntil = now.plusMilliseconds(INITIAL_SUSPICION_MILLISECONDS shl doublings)
+        pace.begin(PaceCause.SUSPICION_ENDED, suspectedUntil)
     }
 
     /** Returns whether the target should get no requests at [now] while another target is available. */
--- a/core/src/test/kotlin/org/heatherwind/core/placement/ToyTarget.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/ToyTarget.kt
@@ -51,7 +51,7 @@
                 slots = slots,
                 isDraining = false,
             )
-            TargetLoad(entry, reluctance)
+            TargetLoad(entry, drawReluctance = reluctance)
         }
     }
 }
