Rank generations by the users' rank

Cause: the rank of routes and customers was read and used by nobody; engines got generations ranked by the length of their prompt alone, so that a short request of the least urgent route went before a longer one of a more urgent route. Where all have one rank, the order by length is as before. Measured: UrgencyPolicyTest (17 cases) and the other tests of core pass.

--- a/core/src/main/kotlin/org/heatherwind/core/fleet/RoutingPlan.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/fleet/RoutingPlan.kt
@@ -18,7 +18,19 @@
     val services: ImmutableMap<ServiceId, ServiceProfile>,
     val customers: ImmutableList<Customer>,
     val limits: CallerLimits,
-)
+) {
+    /** Whether the requests to model engines differ in rank. A customer's rank replaces the route's. */
+    public val isRanked: Boolean by lazy {
+        val generationRoutes = routes.filter { route ->
+            route.destinations.any { services[it.service]?.engine != null }
+        }
+        val ranks = generationRoutes.flatMapTo(HashSet()) { route ->
+            val ofCustomers = customers.map { it.priority ?: route.priority }
+            if (route.isPublic || customers.isEmpty()) ofCustomers + route.priority else ofCustomers
+        }
+        ranks.size > 1
+    }
+}
 
 /**
  * Rules for the requests of one host and path prefix.
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -181,7 +181,7 @@
             request = request,
             placement = placement,
             progress = progress,
-            urgency = work.tokens?.let { UrgencyPolicy.urgencyOf(work) },
+            urgency = work.tokens?.let { UrgencyPolicy.urgencyOf(work, context.state.routes?.plan?.isRanked == true) },
             protocol = context.protocol,
             client = context.client,
             clock = context.clock,
