Let requests wait for a target, and refuse what is lost

Cause: a request for which no target was open was refused at once with a constant Retry-After, however soon a place became free, and one that was known to be lost was sent. The urgent had no precedence at the router. Change: an admission gate before each send: send, wait in a bounded room of the service for half of the objective at most, or refuse. New requests join those that wait; the first one is called when a request ends, after a send, and every 20 ms. Retry-After of codes 4000, 4001 and of undivided budgets from when room is expected, spread by the request. Measured: formatter and linter pass on core, gateway and platform. Tests of core and gateway pass; platform once whole beside other builds (load about 20): 560 run, 2 failed: the new WaitingRequestsTest, for a race of the test itself, mended since and passing three times; and SilentTargetsTest, one of 12 cases, and another case of it in the next run (an answer cut after its first event).

--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -45,6 +45,10 @@
     public var suspectedUntil: MonotonicTime = MonotonicTime.distantPast
         private set
 
+    /** Until when the target is taken for full, since it has rejected a request for overload. */
+    public var overloadedUntil: MonotonicTime = MonotonicTime.distantPast
+        private set
+
     /** What the target has stated in its answers about further requests. */
     public var availability: TargetAvailability = TargetAvailability()
 
@@ -169,7 +173,8 @@
     public fun recordOverload(now: MonotonicTime) {
         reportedWaitingRequests = maxOf(reportedWaitingRequests, 1)
         reportedAt = now
-        suspectedUntil = maxOf(suspectedUntil, now.plusMilliseconds(OVERLOAD_PAUSE_MILLISECONDS))
+        overloadedUntil = now.plusMilliseconds(OVERLOAD_PAUSE_MILLISECONDS)
+        suspectedUntil = maxOf(suspectedUntil, overloadedUntil)
     }
 
     /** Records at [now] that a connection failed or no response came within the timeout. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -51,6 +51,7 @@
 import org.heatherwind.gateway.serve.RequestServer
 import org.heatherwind.gateway.serve.ServeContext
 import org.heatherwind.gateway.serve.TargetClient
+import org.heatherwind.gateway.serve.WaitingRooms
 import org.heatherwind.gateway.state.BudgetLedgers
 import org.heatherwind.gateway.state.BudgetManager
 import org.heatherwind.gateway.state.CombinedSubscriber
@@ -180,6 +181,7 @@
     )
     private val announcements =
         PlacementAnnouncements(group, clock, log, { peerReports.peerAddresses() }, { state.loadOf(it) })
+    private val waitingRooms = WaitingRooms(clock)
     private val listener = CallerListener(
         group,
         CallerContext(
@@ -204,6 +206,7 @@
                     responseMemory = responseMemory,
                     liveRouterCount = { peerReports.liveCount() },
                     stopDeadline = { plannedStop.get()?.deadlineAt(clock.now()) },
+                    rooms = waitingRooms,
                 ),
             ),
         ),
@@ -360,6 +363,9 @@
         metrics.gauge("heatherwind_target_connections_opened", "Connections opened to targets since the start.") {
             client.openedCount.toDouble()
         }
+        metrics.gauge("heatherwind_admission_waiting", "Requests that wait at the router for a target.") {
+            waitingRooms.size.toDouble()
+        }
         metrics.gauge("heatherwind_plan_version", "Version of the routing plan in force.") {
             (state.routes?.plan?.version ?: 0).toDouble()
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
+import org.heatherwind.core.admission.RecentRefusals
+import org.heatherwind.core.admission.RetryAfterPolicy
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.ServiceId
@@ -50,6 +52,8 @@
     val stopDeadline: () -> MonotonicTime? = { null },
     val notices: TargetNotices = TargetNotices(clock, log, metrics),
     val responseTimeouts: ResponseTimeoutPolicy = ResponseTimeoutPolicy(),
+    val rooms: WaitingRooms = WaitingRooms(clock),
+    val refusals: RecentRefusals = RecentRefusals(),
 )
 
 /** Serves callers' requests: admission, token reservation, attempts on targets, and the final response. */
@@ -199,7 +203,7 @@
 
             is BudgetDecision.Unavailable -> return RouterError(
                 ResultCode.BUDGET_UNDIVIDED,
-                retryAfterMilliseconds(decision.isStoreUnreachable),
+                retryAfterMilliseconds(work, decision.isStoreUnreachable),
             )
 
             is BudgetDecision.Reserved -> decision.reservation
@@ -213,8 +217,10 @@
         }
     }
 
-    private fun retryAfterMilliseconds(isStoreUnreachable: Boolean): Long =
-        if (isStoreUnreachable) PARTITION_RETRY_AFTER_MILLISECONDS else BUDGET_RETRY_AFTER_MILLISECONDS
+    private fun retryAfterMilliseconds(work: WorkRequest, isStoreUnreachable: Boolean): Long {
+        val expected = if (isStoreUnreachable) PARTITION_RETRY_AFTER_MILLISECONDS else BUDGET_RETRY_AFTER_MILLISECONDS
+        return RetryAfterPolicy.milliseconds(work, expected, opensAt = null, context.clock.now())
+    }
 
     private fun tokensPerEvent(service: ServiceId): Int = context.state.routes?.plan?.services
         ?.get(service)?.engine?.tokensPerEvent ?: 1
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -77,6 +77,9 @@
     /** Forwards the events of the response, or null if none has begun. */
     private var events: EventForwarder? = null
 
+    /** How long ago the attempt began. */
+    val runMilliseconds: Long get() = clock.now().millisecondsSince(inFlight.sentAt)
+
     /** What this attempt has received so far. */
     val received: ReceivedCounts
         get() = ReceivedCounts(
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -29,7 +29,9 @@
     /** Attempts in which the request was sent, including misdirected ones. */
     private var sentAttempts = 0
     private val isIntroducedDrawn = context.rollouts.drawIntroduced(service)
-    private var error = RouterError(ResultCode.NO_TARGET_FREE, RETRY_AFTER_MILLISECONDS)
+    private val gate = AdmissionGate(context, work, service)
+    private val room = context.rooms.of(service)
+    private var error = RouterError(ResultCode.NO_TARGET_FREE)
 
     /** The attempt that has taken the request over from the current one, which is about to end. */
     private var successor: TargetAttempt? = null
@@ -46,14 +48,15 @@
             }
         } finally {
             takeSuccessor()?.end()
+            room.callNext()
         }
-        return if (progress.deliverFailure()) null else error
+        return if (progress.deliverFailure()) null else finalError()
     }
 
     /** Sends the request to a target. Returns the attempt, or null if no further target can be tried. */
     private suspend fun startNext(): TargetAttempt? {
         while (!isBlocked() && mayAttempt()) {
-            val placement = choose() ?: return null.also { delayRetryUntilOpen() }
+            val placement = gate.awaitPlacement(triedTargets, ::choose) ?: return null
             if (sentAttempts == 0) context.retries.recordFirstAttempt(service, context.clock.now())
             val attempt = newAttempt(placement)
             val result = attempt.connect()
@@ -147,13 +150,12 @@
         return introduced ?: chooseAmong(context.rollouts.targetsOf(service), isSharedCacheAssumed = true)
     }
 
-    /** If all targets want no requests at present, lets the caller retry when the first of them opens. */
-    private fun delayRetryUntilOpen() {
-        val now = context.clock.now()
-        val staying = context.rollouts.targetsOf(service).map { it.availability }.filterNot { it.isLeaving }
-        val mayRetry = error.retryAfterMilliseconds != null
-        if (!mayRetry || staying.isEmpty() || staying.any { it.isOpen(now) }) return
-        error = error.copy(retryAfterMilliseconds = staying.minOf { it.closedUntil }.millisecondsSince(now))
+    /** Returns the error for the caller, who may come back when room is expected if the targets had none. */
+    private fun finalError(): RouterError = when (error.code) {
+        ResultCode.NO_TARGET_FREE, ResultCode.TARGET_REFUSED ->
+            error.copy(retryAfterMilliseconds = gate.retryAfterMilliseconds())
+
+        else -> error
     }
 
     private fun chooseAmong(candidates: List<TargetLoad>, isSharedCacheAssumed: Boolean): Placement? {
@@ -198,8 +200,10 @@
         logResult(attempt, result)
         context.metrics.countReceived(service.value, attempt.received)
         if (result !is AttemptResult.NotSent) sentAttempts++
+        room.callNext()
         when (result) {
             is AttemptResult.Delivered -> {
+                room.estimate.recordRun(attempt.runMilliseconds)
                 progress.recordAnswerBegun()
                 return true
             }
@@ -208,7 +212,7 @@
 
             is AttemptResult.NotRun -> {
                 countedAttempts++
-                if (!progress.mayHaveRun) error = RouterError(ResultCode.TARGET_REFUSED, RETRY_AFTER_MILLISECONDS)
+                if (!progress.mayHaveRun) error = RouterError(ResultCode.TARGET_REFUSED)
             }
 
             is AttemptResult.Failed -> {
@@ -253,8 +257,6 @@
         /** Maximum number of targets tried for a request, including those that accept no connection. */
         const val MAXIMUM_TARGETS = 4
 
-        /** A slot becomes free within some tens of milliseconds. */
-        const val RETRY_AFTER_MILLISECONDS = 100L
         const val DEFAULT_CONNECTIONS = 100
 
         /** Fraction of a target's connections shared by the routers; the rest is for health checks and uneven use. */
--- /dev/null
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/WaitingRoom.kt
@@ -0,0 +1,87 @@
+package org.heatherwind.gateway.serve
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
+import org.heatherwind.core.admission.RoomEstimate
+import org.heatherwind.core.admission.WaitingOrder
+import org.heatherwind.core.admission.WaitingRequest
+import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
+import org.heatherwind.core.identity.ServiceId
+
+/** The waiting rooms of the services at this router. Confined to the event loop. */
+internal class WaitingRooms(private val clock: MonotonicClock) {
+    private val rooms = HashMap<ServiceId, WaitingRoom>()
+
+    /** Number of requests that wait. */
+    val size: Int get() = rooms.values.sumOf { it.size }
+
+    fun of(service: ServiceId): WaitingRoom = rooms.getOrPut(service) { WaitingRoom(clock) }
+}
+
+/** The requests that wait at this router for a target of one service. Confined to the event loop. */
+internal class WaitingRoom(private val clock: MonotonicClock, capacity: Int = CAPACITY) {
+    private val order = WaitingOrder(capacity)
+    private val calls = HashMap<WaitingRequest, CompletableDeferred<Boolean>>()
+    private var lookedAt = MonotonicTime.distantPast
+
+    /** When the targets of the service have room. */
+    val estimate = RoomEstimate()
+
+    /** Number of requests that wait. */
+    val size: Int get() = order.size
+
+    /**
+     * Waits until it is the turn of [request] to look for a target. Returns false if it waits no longer: its time has
+     * passed, or too many others go before it. After true, [recordPlaced], [leave] or another [await] must follow.
+     *
+     * @param isTargetOpen whether a target takes requests now, so that the first one is called at once
+     */
+    suspend fun await(request: WaitingRequest, isTargetOpen: Boolean): Boolean {
+        val call = CompletableDeferred<Boolean>()
+        calls[request] = call
+        order.add(request)?.let { calls.remove(it)?.complete(false) }
+        if (isTargetOpen) callNext()
+        var mayLook = false
+        try {
+            while (true) {
+                val remaining = request.until.millisecondsSince(clock.now()).coerceAtMost(LOOK_MILLISECONDS)
+                val answer = if (remaining > 0) withTimeoutOrNull(remaining) { call.await() } else false
+                if (answer != null) return answer.also { mayLook = it }
+                look()
+            }
+        } finally {
+            if (!mayLook) leave(request)
+        }
+    }
+
+    /** Records that [request] is sent to a target. */
+    fun recordPlaced(request: WaitingRequest): Unit = order.recordPlaced(request)
+
+    /** Removes [request], which is not sent; the next one may look. */
+    fun leave(request: WaitingRequest) {
+        calls -= request
+        order.remove(request)
+    }
+
+    /** Calls the first request in the order, since a target may have a place for it, unless it is looking already. */
+    fun callNext() {
+        lookedAt = clock.now()
+        order.next()?.let { calls.remove(it) }?.complete(true)
+    }
+
+    private fun look() {
+        if (clock.now().millisecondsSince(lookedAt) >= LOOK_MILLISECONDS) callNext()
+    }
+
+    private companion object {
+        /**
+         * More requests than a router has places for within half of an objective, and few enough that finding the first
+         * takes no noticeable time.
+         */
+        const val CAPACITY = 64
+
+        /** How often the first request looks whether a pause or a suspicion has ended, of which nothing else tells. */
+        const val LOOK_MILLISECONDS = 20L
+    }
+}
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -44,6 +44,12 @@
     private val closedTargets = Counter.builder().name("heatherwind_targets_closed_total")
         .help("Notices of targets that want no further requests, by service and cause (leaving, pause).")
         .labelNames("service", "cause").register(registry)
+    private val refused = Counter.builder().name("heatherwind_admission_refused_total")
+        .help("Requests refused before a send, by service and reason (lost, closed, waited).")
+        .labelNames("service", "reason").register(registry)
+    private val waits = Histogram.builder().name("heatherwind_admission_wait_seconds")
+        .help("Time that requests waited at the router for a target, by service.").labelNames("service")
+        .classicOnly().register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -94,6 +100,16 @@
         forwardedEvents.labelValues(service).inc(received.forwardedEvents.toDouble())
     }
 
+    /** Counts a request to [service] that is refused before a send for [reason]. */
+    internal fun countRefused(service: String, reason: String) {
+        refused.labelValues(service, reason).inc()
+    }
+
+    /** Records that a request to [service] waited for a target. */
+    internal fun observeWait(service: String, milliseconds: Long) {
+        waits.labelValues(service).observe(milliseconds / MILLISECONDS_PER_SECOND)
+    }
+
     /** Counts a log line that was dropped. */
     public fun countDroppedLine() {
         droppedLines.inc()
