--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -62,6 +62,10 @@
     public var suspectedUntil: MonotonicTime = MonotonicTime.distantPast
         private set
 
+    /** Until when the target is taken for full, since it has rejected a request for overload. */
+    public var overloadedUntil: MonotonicTime = MonotonicTime.distantPast
+        private set
+
     /** What the target has stated in its answers about further requests. */
     public var availability: TargetAvailability = TargetAvailability()
         set(value) {
@@ -228,7 +232,8 @@
         pace.recordFailure(now)
         reportedWaitingRequests = maxOf(reportedWaitingRequests, 1)
         reportedAt = now
-        suspectedUntil = maxOf(suspectedUntil, now.plusMilliseconds(OVERLOAD_PAUSE_MILLISECONDS))
+        overloadedUntil = now.plusMilliseconds(OVERLOAD_PAUSE_MILLISECONDS)
+        suspectedUntil = maxOf(suspectedUntil, overloadedUntil)
     }
 
     /** Records at [now] that a connection failed or no response came within the timeout. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -53,6 +53,7 @@
 import org.heatherwind.gateway.serve.RequestServer
 import org.heatherwind.gateway.serve.ServeContext
 import org.heatherwind.gateway.serve.TargetClient
+import org.heatherwind.gateway.serve.WaitingRooms
 import org.heatherwind.gateway.state.BudgetLedgers
 import org.heatherwind.gateway.state.BudgetManager
 import org.heatherwind.gateway.state.CombinedSubscriber
@@ -190,6 +191,7 @@
     )
     private val announcements =
         PlacementAnnouncements(group, clock, log, { peerReports.peerAddresses() }, { state.loadOf(it) })
+    private val waitingRooms = WaitingRooms(clock)
     private val listener = CallerListener(
         group,
         CallerContext(
@@ -215,6 +217,7 @@
                     liveRouterCount = { peerReports.liveCount() },
                     dataCentre = settings.dataCentre,
                     stopDeadline = { plannedStop.get()?.deadlineAt(clock.now()) },
+                    rooms = waitingRooms,
                 ),
             ),
         ),
@@ -381,6 +384,9 @@
         metrics.gauge("heatherwind_target_connections_opened", "Connections opened to targets since the start.") {
             client.openedCount.toDouble()
         }
+        metrics.gauge("heatherwind_admission_waiting", "Requests that wait at the router for a target.") {
+            waitingRooms.size.toDouble()
+        }
         metrics.gauge("heatherwind_plan_version", "Version of the routing plan in force.") {
             (state.routes?.plan?.version ?: 0).toDouble()
         }
