Count calls to the store by purpose

Cause: Calls to the store are the largest single loss of a large fleet, and nothing tells what they are for. Change: CountingRecordStore counts each call at the boundary of the store by purpose, outcome and size: in heatherwind_store_calls_total and heatherwind_store_bytes_total, and in one log line every five seconds.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -69,6 +69,7 @@
 import org.heatherwind.gateway.state.StreamSubscriber
 import org.heatherwind.gateway.state.TargetSubscriber
 import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StoreCallCounter
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.EventLoopDelay
@@ -85,7 +86,7 @@
 public class GatewayProcess(
     private val settings: GatewaySettings,
     private val group: EventLoopGroup,
-    private val store: RecordStore,
+    store: RecordStore,
     private val documents: FleetDocuments,
     private val protocol: CallerProtocol,
     private val startedAt: Timestamp = WallClock.system.now(),
@@ -100,6 +101,8 @@
     }
     private val scope = CoroutineScope(SupervisorJob() + eventLoop.asCoroutineDispatcher() + exceptionHandler)
     private val eventLoopDelay = EventLoopDelay(log)
+    private val storeCalls = StoreCallCounter(documents, metrics, log)
+    private val store = storeCalls.counted(store)
     private val state = FleetState()
     private val stopped = CompletableDeferred<Unit>()
     private val client = TargetClient(eventLoop, clock)
@@ -126,7 +129,7 @@
     )
     private val rollouts: RolloutManager = RolloutManager(
         self = self,
-        store = store,
+        store = this.store,
         documents = documents,
         state = state,
         policy = RolloutPolicy(settings.exposureLimit),
@@ -138,7 +141,7 @@
     private val predecessorCharges = PredecessorCharges(self, startedAt, witnessClient, log)
     private val reports = ReportPublisher(
         self = self,
-        store = store,
+        store = this.store,
         clock = clock,
         log = log,
         peerReports = peerReports,
@@ -160,7 +163,7 @@
     ) { peerReports.liveCount() }
     private val bodyMemory = MemoryLimit(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
     private val responseMemory = MemoryLimit(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR)
-    private val ledgers = BudgetLedgers(store, settings.partitionsPerStream)
+    private val ledgers = BudgetLedgers(this.store, settings.partitionsPerStream)
     private val customerOf = { id: CustomerId -> state.routes?.customerById(id) }
     private val fleetBudgets = FleetBudgetView(peerReports, customerOf)
     private val policy = GrantPolicy()
@@ -320,6 +323,7 @@
             eventLoopDelay.run(clock.now())
             log.loggingFailures("maintenance") {
                 budgets.rebalance()
+                storeCalls.logWhenDue(clock.now(), peerReports.liveCount())
                 client.closeUnused()
             }
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -44,6 +44,11 @@
     private val closedTargets = Counter.builder().name("heatherwind_targets_closed_total")
         .help("Notices of targets that want no further requests, by service and cause (leaving, pause).")
         .labelNames("service", "cause").register(registry)
+    private val storeCalls = Counter.builder().name("heatherwind_store_calls_total")
+        .help("Calls to the store, by purpose and outcome (done, conflict, failed).")
+        .labelNames("purpose", "outcome").register(registry)
+    private val storeBytes = Counter.builder().name("heatherwind_store_bytes_total")
+        .help("Bytes of records sent to and read from the store, by purpose.").labelNames("purpose").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -94,6 +99,12 @@
         forwardedEvents.labelValues(service).inc(received.forwardedEvents.toDouble())
     }
 
+    /** Counts a call to the store for [purpose] that ended with [outcome] and carried [bytes] of records. */
+    internal fun countStoreCall(purpose: String, outcome: String, bytes: Int) {
+        storeCalls.labelValues(purpose, outcome).inc()
+        storeBytes.labelValues(purpose).inc(bytes.toDouble())
+    }
+
     /** Counts a log line that was dropped. */
     public fun countDroppedLine() {
         droppedLines.inc()
