Let updates of the ledger and reports follow demand

Cause: Where all routers of a large fleet start at once, each takes itself for the only one, all update the same partitions at the same time, and each conflict costs a read and an append more. A request that needs a higher ceiling waits 2 ms for each router before its report is sent, and a budget is divided until no large request fits. Change: Initial grants begin with one partition, and the others follow in turn, with one append for the customers of a partition. A contended partition is read before the append, pauses double, and updates that no request waits for give up early. Grants of predecessors are closed in turn. A report covers all waiting requests and is sent at once, slower only as confirmations take longer. Up to 40% of the rest is not divided in advance in a large fleet. The share that deaths may lose is unchanged.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -91,14 +91,16 @@
 
     /**
      * Returns whether a higher ceiling should be reported now, before requests have to wait for it: less than a share
-     * of the slack that the [remaining] budget allows is left.
+     * of the slack that the [remaining] budget allows is left. Where that slack is smaller than a short request, the
+     * next request waits for its own report anyway, and one ahead of it would be in vain.
      */
     public fun isCeilingLow(now: MonotonicTime, remaining: RemainingBudget): Boolean {
         val confirmedTokens = confirmedCeiling?.tokens ?: 0
         val unusedCeilingTokens = confirmedTokens - committedTokens
         val grantAboveCeilingTokens = grantedTokens - confirmedTokens
-        return grantAboveCeilingTokens > 0 &&
-            unusedCeilingTokens < remaining.lossAllowanceTokens(demandPerSecond(now)) * LOW_CEILING_SHARE
+        val allowance = remaining.lossAllowanceTokens(demandPerSecond(now))
+        return grantAboveCeilingTokens > 0 && allowance >= SMALLEST_REQUEST_TOKENS &&
+            unusedCeilingTokens < allowance * LOW_CEILING_SHARE
     }
 
     /** Records a request for [tokens] at [now], whether it can be served or not. */
@@ -168,6 +170,9 @@
         /** About one short request; larger requests wait for a report. */
         const val MINIMUM_SLACK_TOKENS = 2_500L
 
+        /** Below the size of nearly all requests. */
+        const val SMALLEST_REQUEST_TOKENS = 500L
+
         /** Allows a customer without recent demand one short request every few seconds of a store outage. */
         const val MINIMUM_GROWTH_TOKENS_PER_SECOND = 1_000L
 
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -92,11 +92,19 @@
         val demand = holding.demandPerSecond(now)
         if (remaining.isTooSmallToDivide(demand)) return 0
         val cover = demand * coverMilliseconds / MILLISECONDS_PER_SECOND * headroom
-        val shareOfRemaining = remaining.tokens.coerceAtLeast(0) * remaining.demandShare(demand)
+        val divisible = remaining.tokens.coerceAtLeast(0) * (1 - undividedShare(holders))
+        val shareOfRemaining = divisible * remaining.demandShare(demand)
         val minimum = minOf(minimumTokens, remaining.tokens / (holders.coerceAtLeast(1) * MINIMUM_DIVISOR))
         return minOf(cover.toLong().coerceAtLeast(minimum), shareOfRemaining.toLong())
     }
 
+    /**
+     * Returns the share of the remaining tokens that is not divided in advance. The more [holders], the smaller each
+     * part is in comparison with a large request, which then takes its tokens from this share.
+     */
+    private fun undividedShare(holders: Int): Double =
+        (holders * UNDIVIDED_SHARE_PER_HOLDER).coerceIn(0.0, MAXIMUM_UNDIVIDED_SHARE)
+
     /** Returns whether [holding] should request more tokens now, before it runs out. */
     public fun isRefillDue(
         holding: BudgetHolding,
@@ -187,6 +195,12 @@
         /** While this share of the remaining tokens is free, a router that needs more can be granted them. */
         private const val AMPLE_FREE_SHARE = 0.15
 
+        /** A few percent in a fleet of ten, whose parts are as large as any request. */
+        private const val UNDIVIDED_SHARE_PER_HOLDER = 0.005
+
+        /** Leaves more than half of the remaining tokens where the demand is, for times without the store. */
+        private const val MAXIMUM_UNDIVIDED_SHARE = 0.4
+
         /** Number of initial grants of one router; further customers' first requests wait for their grants. */
         private const val MAXIMUM_INITIAL_GRANTS = 64
 
--- a/core/src/test/kotlin/org/heatherwind/core/escrow/GrantPolicyTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/escrow/GrantPolicyTest.kt
@@ -8,6 +8,7 @@
 import org.heatherwind.core.identity.Timestamp
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
@@ -88,10 +89,32 @@
             }
         }
 
+    /** Pattern: five requests of 46,318 tokens at one of 83 routers, whose demand would use the rest in 13 s. */
+    @Test
+    fun `given a divided budget when five large requests come then tokens are left for them`() {
+        val now = MonotonicTime(20_000)
+        val demand = 75_000.0 / LARGE_FLEET
+        val remaining = RemainingBudget(975_990, demand * (LARGE_FLEET - 1), LARGE_FLEET)
+        val holding = BudgetHolding(MonotonicTime(0)).also { it.updateHolderCount(LARGE_FLEET) }
+        (0L until 20_000 step 250).forEach { holding.recordDemand((demand / 4).toLong(), MonotonicTime(it)) }
+        var allocation = BudgetAllocation()
+        repeat(LARGE_FLEET * 4) {
+            val other = Incarnation.of(InstanceId("router-${it % LARGE_FLEET}"), Timestamp(1_700_000_000_000))
+            val granted = GrantPolicy()
+                .grantFor(other, holding, allocation, 975_990, remaining, LARGE_FLEET, neededTokens = 0, now)
+            allocation = allocation.withGrant(other, granted)
+        }
+        val granted = GrantPolicy()
+            .grantFor(holder, holding, allocation, 975_990, remaining, LARGE_FLEET, neededTokens = 5 * 46_318, now)
+        assertTrue(allocation.allocatedTokens >= 975_990 * 0.4, "only ${allocation.allocatedTokens} were divided")
+        assertTrue(granted >= 5 * 46_318, "$granted granted, ${allocation.allocatedTokens} of 975,990 divided before")
+    }
+
     private fun remainingOf(case: Case) =
         RemainingBudget(REMAINING_TOKENS, DEMAND_PER_SECOND * (1 - case.share), case.routers)
 
     private companion object {
+        const val LARGE_FLEET = 83
         const val DEMAND_PER_SECOND = 150_000.0
 
         /** Tokens for 40 s of demand. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -247,7 +247,9 @@
         reports.budgets = budgets
         scope.launch {
             reports.run(onFenced = {
-                scope.launch { PredecessorGrants(self, ledgers, predecessorCharges, log).closeAll() }
+                scope.launch {
+                    PredecessorGrants(self, ledgers, predecessorCharges, log, peerReports::liveCount).closeAll()
+                }
             })
         }
         scope.launch { reports.runWitnessUpdates() }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
@@ -53,7 +53,9 @@
     private val quotaSource: QuotaSource,
 ) : BudgetReportSource {
     private val budgets = HashMap<CustomerId, CustomerBudget>()
+    private val startedAt = clock.now()
     private var isShuttingDown = false
+    private var nextInitialGrantAt = MonotonicTime.distantPast
 
     /** Reserves [tokens] for [customer]. Where this router holds too few, waits for more until [deadline]. */
     suspend fun reserve(customer: Customer, tokens: Long, deadline: MonotonicTime): BudgetDecision {
@@ -71,7 +73,7 @@
         if (!budget.holding.tryReserve(tokens, now)) return false
         val remaining = fleetBudgets.remainingBudgetOf(budget)
         val isRefillDue = policy.isRefillDue(budget.holding, remaining, peerReports.liveCount(), now)
-        if (isRefillDue) startGrantUpdate(budget, neededTokens = 0)
+        if (isRefillDue && now >= budget.nextBackgroundUpdateAt) startGrantUpdate(budget, neededTokens = 0)
         if (budget.holding.isCeilingLow(now, remaining)) reports.requestReport()
         return true
     }
@@ -144,7 +146,7 @@
                 reports.isStoreUnreachable() -> awaitWithoutStore(budget, tokens, deadline)
 
                 budget.holding.availableTokens < tokens ->
-                    awaitGrant(budget, tokens, startGrantUpdate(budget, tokens).await())
+                    awaitGrant(budget, tokens, startGrantUpdate(budget, tokens, isAwaited = true).await())
 
                 else -> {
                     awaitCeiling(budget, tokens)
@@ -162,7 +164,7 @@
      */
     private suspend fun awaitWithoutStore(budget: CustomerBudget, tokens: Long, deadline: MonotonicTime): Boolean {
         if (budget.holding.availableTokens < tokens) {
-            val update = startGrantUpdate(budget, tokens)
+            val update = startGrantUpdate(budget, tokens, isAwaited = true)
             val outcome = withTimeoutOrNull(STORE_PROBE_MILLISECONDS) { update.await() }
             if (outcome != null && outcome != GrantUpdateOutcome.FAILED) return awaitGrant(budget, tokens, outcome)
         }
@@ -194,9 +196,13 @@
     }
 
     private suspend fun awaitCeiling(budget: CustomerBudget, tokens: Long) {
-        budget.requestCeiling(tokens)
-        if (reports.isStoreUnresponsive() && requestTransfer(budget, tokens)) return
-        withTimeoutOrNull(CEILING_PAUSE_MILLISECONDS) { reports.requestReportAndWait() }
+        budget.waitingTokens += tokens
+        try {
+            if (reports.isStoreUnresponsive() && requestTransfer(budget, tokens)) return
+            withTimeoutOrNull(CEILING_PAUSE_MILLISECONDS) { reports.requestReportAndWait() }
+        } finally {
+            budget.waitingTokens -= tokens
+        }
     }
 
     override fun currentReports(): Map<CustomerId, BudgetReport> {
@@ -228,7 +234,7 @@
         reported.forEach { (customer, budget) -> budgets[customer]?.holding?.confirm(budget.ceiling, sentAt) }
     }
 
-    /** Returns surplus grants, enlarges small ones, and requests an initial grant for one customer without one. */
+    /** Returns surplus grants, enlarges small ones, and requests initial grants. */
     fun rebalance() {
         val now = clock.now()
         val holders = peerReports.liveCount()
@@ -238,20 +244,33 @@
             val freeTokens = fleetBudgets.freeTokens(budget)
             val isDue = policy.isReturnDue(budget.holding, remaining, freeTokens, holders, now) ||
                 policy.isRefillDue(budget.holding, remaining, holders, now)
-            if (isDue && budget.holding.availableTokens != 0L && !budget.isClosing) {
+            val isPaused = budget.isClosing || now < budget.nextBackgroundUpdateAt
+            if (isDue && budget.holding.availableTokens != 0L && !isPaused) {
                 startGrantUpdate(budget, neededTokens = 0)
             }
         }
-        requestInitialGrant()
+        requestInitialGrants()
     }
 
-    private fun requestInitialGrant() {
-        if (isShuttingDown || reports.isStoreUnresponsive()) return
+    /** Requests the initial grants of one partition, whose updates share an append. */
+    private fun requestInitialGrants() {
+        val now = clock.now()
+        val isFleetUnknown = reports.isFirstProcess && budgets.isNotEmpty() &&
+            now.millisecondsSince(startedAt) < FIRST_REPORTS_MILLISECONDS
+        if (isShuttingDown || isFleetUnknown || reports.isStoreUnresponsive() || now < nextInitialGrantAt) return
         val routers = peerReports.liveCount()
-        val customer =
-            policy.initialGrantCustomers(customers(), routers).filter { it.id !in budgets }.randomOrNull() ?: return
-        val budget = budgetOf(customer.id)
-        startGrantUpdate(budget, policy.initialGrantTokens(customer.prepaidTokens ?: 0, routers))
+        val missing = policy.initialGrantCustomers(customers(), routers).filter { it.id !in budgets }
+        val ledger = ledgers.of((missing.randomOrNull() ?: return).id)
+        val chosen = missing.filter { ledgers.of(it.id) === ledger }.onEach { budgetOf(it.id) }
+        val spread = routers * INITIAL_GRANT_SPREAD_PER_ROUTER_MILLISECONDS
+        scope.launch {
+            // Routers that start at once also look for missing grants at once.
+            delay((minOf(spread, MAXIMUM_JITTER_MILLISECONDS) * Math.random()).toLong())
+            chosen.forEach { customer ->
+                startGrantUpdate(budgetOf(customer.id), policy.initialGrantTokens(customer.prepaidTokens ?: 0, routers))
+            }
+        }
+        nextInitialGrantAt = now.plusMilliseconds((spread * (1 + Math.random()) / 2).toLong())
     }
 
     /** Returns all tokens that are not committed, before the process ends. */
@@ -259,17 +278,21 @@
         isShuttingDown = true
         val grantedBudgets = budgets.values.filter { it.holding.grantedTokens != 0L }
         grantedBudgets.forEach { it.isClosing = true }
-        grantedBudgets.map { startGrantUpdate(it, neededTokens = 0) }.awaitAll()
+        grantedBudgets.map { startGrantUpdate(it, neededTokens = 0, isAwaited = true) }.awaitAll()
     }
 
-    private fun startGrantUpdate(budget: CustomerBudget, neededTokens: Long): CompletableDeferred<GrantUpdateOutcome> {
+    private fun startGrantUpdate(
+        budget: CustomerBudget,
+        neededTokens: Long,
+        isAwaited: Boolean = false,
+    ): CompletableDeferred<GrantUpdateOutcome> {
         budget.pendingUpdate?.let { return it }
         val pendingUpdate = CompletableDeferred<GrantUpdateOutcome>()
         budget.pendingUpdate = pendingUpdate
         scope.launch {
             var result = GrantUpdateOutcome.FAILED
             try {
-                result = grants.update(budget, neededTokens)
+                result = grants.update(budget, neededTokens, isAwaited)
             } finally {
                 budget.pendingUpdate = null
                 pendingUpdate.complete(result)
@@ -279,6 +302,21 @@
     }
 
     private companion object {
+        /**
+         * Time in which all routers of a fleet that starts for the first time have reported and read the reports.
+         * Before, each would take itself for the only one, so it requests grants in one partition only.
+         */
+        const val FIRST_REPORTS_MILLISECONDS = 2_500L
+
+        /**
+         * Spreads the initial grants of a large fleet over some seconds before callers arrive; each is an update of a
+         * partition that all routers share.
+         */
+        const val INITIAL_GRANT_SPREAD_PER_ROUTER_MILLISECONDS = 12L
+
+        /** As long as the pause between two looks for missing grants. */
+        const val MAXIMUM_JITTER_MILLISECONDS = 250L
+
         /** Pause before a waiting reservation is retried; routers return surplus grants several times a second. */
         const val RETURN_PAUSE_MILLISECONDS = 120L
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/CustomerBudget.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/CustomerBudget.kt
@@ -20,12 +20,20 @@
     /** Earliest time at which a grant update that no reservation waits for may read the store for returned tokens. */
     var nextReadAt = MonotonicTime.distantPast
 
+    /** Earliest time of the next grant update that no reservation waits for, after one that met conflicts. */
+    var nextBackgroundUpdateAt = MonotonicTime.distantPast
+
     /** Whether the grant is being closed because the process ends. */
     var isClosing = false
 
-    /** Tokens of the largest request that waits for a higher ceiling. */
-    var neededTokens = 0L
-        private set
+    /** Tokens of the requests that wait for a higher ceiling; one report serves them all. */
+    var waitingTokens = 0L
+
+    /** Tokens that another router has asked for beyond the ceiling. */
+    private var askedTokens = 0L
+
+    /** Tokens that the next ceiling should allow for beyond those committed. */
+    val neededTokens: Long get() = maxOf(waitingTokens, askedTokens)
 
     /** Whether the last read of the ledger succeeded. */
     var isLastReadSuccessful = false
@@ -33,14 +41,14 @@
     /** Limit on the usable grant while the outcome of an update is unknown; otherwise [Long.MAX_VALUE]. */
     var grantLimitTokens = Long.MAX_VALUE
 
-    /** Makes the ceiling of the next report allow for a request of [tokens]. */
+    /** Makes the ceiling of the next report allow for a quota transfer of [tokens]. */
     fun requestCeiling(tokens: Long) {
-        neededTokens = maxOf(neededTokens, tokens)
+        askedTokens = maxOf(askedTokens, tokens)
     }
 
     /** Called when a report was composed whose ceiling covers [neededTokens]. */
     fun clearCeilingRequest() {
-        neededTokens = 0
+        askedTokens = 0
     }
 }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
@@ -7,6 +7,7 @@
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.telemetry.DecisionLog
 
@@ -23,10 +24,15 @@
     private val log: DecisionLog,
     private val customerOf: (CustomerId) -> Customer?,
 ) {
-    /** Sets the grant of [budget] to what the policy computes, including [neededTokens] of a waiting request. */
-    suspend fun update(budget: CustomerBudget, neededTokens: Long): GrantUpdateOutcome {
+    /**
+     * Sets the grant of [budget] to what the policy computes, including [neededTokens] of a waiting request. Unless the
+     * update [isAwaited], it gives up early where other routers update the same partition.
+     */
+    suspend fun update(budget: CustomerBudget, neededTokens: Long, isAwaited: Boolean): GrantUpdateOutcome {
         var planned = PlannedGrant(0, 0, BudgetAllocation())
-        val update = budget.ledger.update { allocations, isFresh ->
+        val attempts =
+            if (isAwaited) BudgetLedgers.MAXIMUM_ATTEMPTS else BudgetLedgers.MAXIMUM_BACKGROUND_ATTEMPTS
+        val update = budget.ledger.update(attempts) { allocations, isFresh ->
             if (isFresh) budget.isLastReadSuccessful = true
             planned = plan(budget, allocations.of(budget.id), neededTokens)
             val isLimited = budget.grantLimitTokens < planned.before
@@ -48,7 +54,8 @@
 
             LedgerUpdate.Unread -> GrantUpdateOutcome.FAILED.also { budget.isLastReadSuccessful = false }
 
-            LedgerUpdate.Conflicting -> GrantUpdateOutcome.FAILED
+            LedgerUpdate.Conflicting ->
+                GrantUpdateOutcome.FAILED.also { budget.nextBackgroundUpdateAt = nextUpdateAt() }
 
             is LedgerUpdate.Unconfirmed -> {
                 if (update.append is StreamAppend.Unknown) {
@@ -75,15 +82,23 @@
 
     /**
      * Returns whether the ledger should be read again if its local copy has no free tokens, since other routers may
-     * have returned some. Without a waiting request it is read at most once per [LEDGER_READ_INTERVAL_MILLISECONDS].
+     * have returned some. Without a waiting request it is read at most once per [LEDGER_READ_INTERVAL_MILLISECONDS],
+     * and in a large fleet less often, so that the reads of all routers together do not grow with the fleet.
      */
     private fun isReadDue(budget: CustomerBudget, neededTokens: Long): Boolean {
         val now = clock.now()
         if (neededTokens == 0L && now < budget.nextReadAt) return false
-        budget.nextReadAt = now.plusMilliseconds(LEDGER_READ_INTERVAL_MILLISECONDS)
+        val intervalOfFleet = peerReports.liveCount() * LEDGER_READ_INTERVAL_PER_ROUTER_MILLISECONDS
+        budget.nextReadAt = now.plusMilliseconds(maxOf(LEDGER_READ_INTERVAL_MILLISECONDS, intervalOfFleet))
         return true
     }
 
+    /** Returns when an update that met conflicts and that no request waits for is tried again, at random by router. */
+    private fun nextUpdateAt(): MonotonicTime {
+        val spread = peerReports.liveCount() * UPDATE_SPREAD_PER_ROUTER_MILLISECONDS
+        return clock.now().plusMilliseconds((spread * Math.random()).toLong())
+    }
+
     /**
      * Limits the usable grant to [tokens] until an update is confirmed, since the update whose outcome is unknown may
      * still take effect.
@@ -140,5 +155,11 @@
     private companion object {
         /** Twice the interval at which routers check for surplus grants to return. */
         const val LEDGER_READ_INTERVAL_MILLISECONDS = 500L
+
+        /** About forty reads a second for each customer by all routers. */
+        const val LEDGER_READ_INTERVAL_PER_ROUTER_MILLISECONDS = 25L
+
+        /** About the time in which each router can store one update without conflicts. */
+        const val UPDATE_SPREAD_PER_ROUTER_MILLISECONDS = 12L
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.yield
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
@@ -30,17 +31,25 @@
     /** Whether an update may be tried without a read. */
     private var isCurrent = false
 
+    /** Whether the last look found records of other routers, so that an append without a read would fail. */
+    private var isContended = false
+
     private val callInFlight = Mutex()
     private val waiting = LinkedHashSet<PendingUpdate>()
 
     /** The allocation of [customer] as last read. */
     fun allocationOf(customer: CustomerId): BudgetAllocation = allocations[customer] ?: NO_ALLOCATION
 
-    /** Stores what [change] plans, on the condition that its last plan is based on the newest allocations. */
-    suspend fun update(change: LedgerChange): LedgerUpdate {
-        val update = PendingUpdate(change)
+    /**
+     * Stores what [change] plans, on the condition that its last plan is based on the newest allocations. After
+     * [attempts] conflicts with other routers, gives up.
+     */
+    suspend fun update(attempts: Int = BudgetLedgers.MAXIMUM_ATTEMPTS, change: LedgerChange): LedgerUpdate {
+        val update = PendingUpdate(change, attempts)
         waiting += update
         try {
+            // Updates of other customers that begin at the same time share the append.
+            yield()
             callInFlight.withLock { if (update.outcome == null) complete(waiting.toList()) }
             return checkNotNull(update.outcome) { "an update of $partition without an outcome" }
         } finally {
@@ -51,24 +60,26 @@
     /** Gives each of [updates] an outcome. */
     private suspend fun complete(updates: List<PendingUpdate>) {
         var isFresh = false
-        repeat(BudgetLedgers.MAXIMUM_ATTEMPTS) {
+        repeat(updates.maxOf { it.attempts }) { attempt ->
             if (!isCurrent) {
                 isFresh = refresh()
                 if (!isFresh) return updates.end(LedgerUpdate.Unread)
             }
-            val planned = plan(updates, isFresh)
-            if (planned == null) {
-                isCurrent = false
-                return@repeat
+            var planned = plan(updates, isFresh)
+            if (planned == null || (planned.isNotEmpty() && isContended && !isFresh)) {
+                isFresh = refresh()
+                if (!isFresh) return updates.end(LedgerUpdate.Unread)
+                planned = plan(updates, isFresh = true)
             }
-            if (planned.isEmpty()) return
+            if (planned.isNullOrEmpty()) return updates.end(LedgerUpdate.Unchanged)
             when (val append = append(planned)) {
                 is StreamAppend.Appended -> return updates.end(LedgerUpdate.Stored)
 
                 is StreamAppend.Rejected, is StreamAppend.Unknown ->
                     return updates.end(LedgerUpdate.Unconfirmed(append))
 
-                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> delay(BudgetLedgers.conflictPauseMilliseconds())
+                StreamAppend.Conflict, is StreamAppend.OutOfSequence ->
+                    delay(BudgetLedgers.conflictPauseMilliseconds(attempt, holderCount()))
             }
         }
         updates.end(LedgerUpdate.Conflicting)
@@ -91,11 +102,13 @@
 
     /** Reads the records added since the last read. Returns whether the copy is now current. */
     private suspend fun refresh(): Boolean {
-        val from = nextOffset.takeUnless { hasManyHolders() }
+        val knownOffset = nextOffset
+        val from = knownOffset.takeUnless { holderCount() > MAXIMUM_HOLDERS_READ_INCREMENTALLY }
         val read = if (from == null) store.newest(partition) else store.read(partition, from)
         when (read) {
             is StreamRead.Records -> {
                 read.records.forEach { apply(it) }
+                isContended = read.nextOffset != knownOffset
                 nextOffset = read.nextOffset
                 isCurrent = true
             }
@@ -110,9 +123,8 @@
         return isCurrent
     }
 
-    /** Returns whether some allocation has so many holders that most records are replaced before they are read. */
-    private fun hasManyHolders(): Boolean =
-        allocations.values.any { it.grants.size > MAXIMUM_HOLDERS_READ_INCREMENTALLY }
+    /** The number of holders of the most divided allocation; most records of many are replaced before they are read. */
+    private fun holderCount(): Int = allocations.values.maxOfOrNull { it.grants.size } ?: 0
 
     /** Appends [updated] on the condition that nothing was added to the partition since the last read. */
     private suspend fun append(updated: Map<CustomerId, BudgetAllocation>): StreamAppend {
@@ -124,6 +136,8 @@
             allocations += updated
             nextOffset = append.endOffset
             isCurrent = true
+        } else {
+            isContended = isContended || append is StreamAppend.Conflict
         }
         return append
     }
@@ -166,7 +180,7 @@
     )
 
     /** A [change] that waits for its [outcome]. */
-    private class PendingUpdate(val change: LedgerChange) {
+    private class PendingUpdate(val change: LedgerChange, val attempts: Int) {
         var outcome: LedgerUpdate? = null
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorGrants.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorGrants.kt
@@ -17,6 +17,7 @@
     private val ledgers: BudgetLedgers,
     private val predecessorCharges: PredecessorCharges,
     private val log: DecisionLog,
+    private val routers: () -> Int,
 ) {
     /** Closes the grants of all predecessors, and retries until none is left. */
     suspend fun closeAll() {
@@ -24,7 +25,7 @@
         while (!isDone) {
             log.loggingFailures("budget") {
                 isDone = coroutineScope {
-                    (0 until ledgers.partitions).map { async { close(ledgers.at(it)) } }.awaitAll()
+                    (0 until ledgers.partitions).map { async { closeInTurn(ledgers.at(it)) } }.awaitAll()
                 }.all { it }
             }
             if (!isDone) delay(RETRY_PAUSE_MILLISECONDS)
@@ -32,6 +33,12 @@
         predecessorCharges.clear()
     }
 
+    /** Closes the grants in [ledger] after a random pause, since other routers may have started at the same time. */
+    private suspend fun closeInTurn(ledger: LedgerPartition): Boolean {
+        delay((routers() * SPREAD_PER_ROUTER_MILLISECONDS * Math.random()).toLong())
+        return close(ledger)
+    }
+
     private suspend fun close(ledger: LedgerPartition): Boolean {
         var closed = emptyMap<CustomerId, BudgetAllocation>()
         val update = ledger.update { allocations, _ ->
@@ -81,6 +88,9 @@
     )
 
     private companion object {
+        /** About the time that a partition needs for the closing append of one router. */
+        const val SPREAD_PER_ROUTER_MILLISECONDS = 10L
+
         /** Pause after the store did not confirm the closing. */
         const val RETRY_PAUSE_MILLISECONDS = 60L
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
@@ -69,18 +69,27 @@
     private val callInFlight = Mutex()
     private val startedAt = clock.now()
     private var confirmedAt = MonotonicTime.distantPast
+
+    /** Time from the last sent report to the store's response. */
+    private var confirmationMilliseconds = 0L
     private var epoch = 0L
     private var sequence = 0L
     private var unconfirmedReport: SentReport? = null
     private var confirmedWitness: WitnessReference? = null
     private var lastComposedAt = MonotonicTime.distantPast
     private var reportRequested = CompletableDeferred<Unit>()
+
+    /** Completed when a request waits for the next report. */
+    private var reportAwaited = CompletableDeferred<Unit>()
     private var publishAttemptEnded = CompletableDeferred<Unit>()
 
     /** Whether predecessors on this instance are fenced and can no longer report. */
     var isFenced = false
         private set
 
+    /** Whether no earlier process ran on this instance, as when a whole fleet starts for the first time. */
+    val isFirstProcess: Boolean get() = epoch <= 1
+
     /** Returns whether the store has confirmed no report for so long that quota transfers are faster. */
     fun isStoreUnresponsive(): Boolean =
         clock.now().millisecondsSince(confirmedAt) > intervalMilliseconds() + UNRESPONSIVE_MILLISECONDS
@@ -102,12 +111,23 @@
         while (currentCoroutineContext().isActive) {
             log.loggingFailures("reports") { publishOnce() }
             val minimumForFleet = peerReports.liveCount() * MINIMUM_PAUSE_PER_ROUTER_MILLISECONDS
-            val minimumPause = maxOf(MINIMUM_PAUSE_MILLISECONDS, minimumForFleet)
-            delay(minimumPause)
-            withTimeoutOrNull(intervalMilliseconds() - minimumPause) { reportRequested.await() }
+            val pauseAhead = maxOf(MINIMUM_PAUSE_MILLISECONDS, minimumForFleet)
+            delay(MINIMUM_PAUSE_MILLISECONDS)
+            delay(awaitedPause(pauseAhead) - MINIMUM_PAUSE_MILLISECONDS)
+            withTimeoutOrNull(pauseAhead - awaitedPause(pauseAhead)) { reportAwaited.await() }
+            if (!reportAwaited.isCompleted) {
+                withTimeoutOrNull(intervalMilliseconds() - pauseAhead) { reportRequested.await() }
+            }
         }
     }
 
+    /**
+     * Returns the pause before a report that a request waits for, at most [pauseAhead]. All reports go through one
+     * partition, so routers pause longer the longer it takes to confirm one.
+     */
+    private fun awaitedPause(pauseAhead: Long): Long =
+        (confirmationMilliseconds * PAUSE_PER_CONFIRMATION).coerceIn(MINIMUM_PAUSE_MILLISECONDS, pauseAhead)
+
     private fun intervalMilliseconds(): Long =
         maxOf(INTERVAL_MILLISECONDS, peerReports.liveCount() * INTERVAL_PER_ROUTER_MILLISECONDS)
 
@@ -138,6 +158,7 @@
 
     /** Requests a report before the interval ends, and waits until the current or next attempt to publish has ended. */
     suspend fun requestReportAndWait() {
+        reportAwaited.complete(Unit)
         reportRequested.complete(Unit)
         publishAttemptEnded.await()
     }
@@ -152,6 +173,7 @@
         // In a planned stop the last report is published beside the regular ones.
         callInFlight.withLock {
             reportRequested = CompletableDeferred()
+            reportAwaited = CompletableDeferred()
             if (unconfirmedReport != null) send()
             if (unconfirmedReport == null) {
                 unconfirmedReport = compose()
@@ -194,7 +216,10 @@
     private suspend fun send() {
         val report = unconfirmedReport ?: return
         val condition = AppendCondition.NextOf(self.instance.value, epoch, sequence)
-        when (val append = store.append(partition, listOf(NewRecord(self.instance.value, report.bytes)), condition)) {
+        val sentAt = clock.now()
+        val append = store.append(partition, listOf(NewRecord(self.instance.value, report.bytes)), condition)
+        confirmationMilliseconds = clock.now().millisecondsSince(sentAt)
+        when (append) {
             is StreamAppend.Appended -> {
                 unconfirmedReport = null
                 confirmedAt = report.composedAt
@@ -276,10 +301,13 @@
         /** Requests for a report within this time are combined into one report. */
         private const val MINIMUM_PAUSE_MILLISECONDS = 15L
 
+        /** Leaves the partition of the reports time to catch up: routers that all wait fill it, but no queue grows. */
+        private const val PAUSE_PER_CONFIRMATION = 4
+
         /** While the store is unreachable, requests that need a higher ceiling wait about this long. */
         private const val WITNESS_INTERVAL_MILLISECONDS = 60L
 
-        /** Limits a large fleet's reports ahead of the interval to a few hundred per second. */
+        /** Limits a large fleet's reports that no request waits for to a few hundred per second. */
         private const val MINIMUM_PAUSE_PER_ROUTER_MILLISECONDS = 2L
 
         /** Limits the regular reports of a large fleet to about a hundred per second. */
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
@@ -23,6 +23,7 @@
 import org.heatherwind.gateway.peer.StoreCeilingsRequest
 import org.heatherwind.gateway.peer.WitnessReference
 import org.heatherwind.gateway.peer.WitnessService
+import org.heatherwind.gateway.store.RecordStore
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.GatewayMetrics
 import java.net.InetSocketAddress
@@ -38,6 +39,8 @@
     private val random: Random,
     private val faultProbability: Double = 0.0,
     private val maximumAnswerDelayMilliseconds: Long = 0,
+    private val partitions: Int = 2,
+    private val countCalls: (RecordStore) -> RecordStore = { it },
 ) {
     val clock = MonotonicClock { MonotonicTime(test.currentTime) }
     private var scope: CoroutineScope? = null
@@ -72,13 +75,14 @@
         val self = Incarnation.of(InstanceId(name), startedAt)
         val ownStore = newStore()
         ownStore.isDisconnected = isDisconnected
+        val countedStore = countCalls(ownStore)
         val log = DecisionLog(clock, GatewayMetrics())
         val witnesses = PeerWitnesses()
         val peerReports = PeerReports(self, clock, log)
         val predecessorCharges = PredecessorCharges(self, startedAt, witnesses, log)
         val reports = ReportPublisher(
             self = self,
-            store = ownStore,
+            store = countedStore,
             clock = clock,
             log = log,
             peerReports = peerReports,
@@ -88,7 +92,7 @@
             peerAddress = InetSocketAddress.createUnresolved(name, 1),
             witnesses = witnesses,
         )
-        val ledgers = BudgetLedgers(ownStore, PARTITIONS)
+        val ledgers = BudgetLedgers(countedStore, partitions)
         val policy = GrantPolicy()
         val fleetBudgets = FleetBudgetView(peerReports, ::customerOf)
         val manager = BudgetManager(
@@ -112,11 +116,13 @@
         store = ownStore
         processScope.launch {
             reports.run(onFenced = {
-                processScope.launch { PredecessorGrants(self, ledgers, predecessorCharges, log).closeAll() }
+                processScope.launch {
+                    PredecessorGrants(self, ledgers, predecessorCharges, log, peerReports::liveCount).closeAll()
+                }
             })
         }
         val partition = ReportPublisher.partition
-        val follower = StreamFollower(ownStore, partition, peerReports::pollingPolicy, clock, log, peerReports)
+        val follower = StreamFollower(countedStore, partition, peerReports::pollingPolicy, clock, log, peerReports)
         processScope.launch { follower.run() }
         processScope.launch { reports.runWitnessUpdates() }
         processScope.launch { runMaintenance(manager) }
@@ -172,7 +178,6 @@
 
     private companion object {
         const val EPOCH = 1_700_000_000_000L
-        const val PARTITIONS = 2
         const val REBALANCE_INTERVAL_MILLISECONDS = 250L
     }
 }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/ReportPublisherTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/ReportPublisherTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
+import kotlinx.serialization.json.Json
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.InstanceId
@@ -15,6 +16,7 @@
 import org.heatherwind.gateway.peer.WitnessReference
 import org.heatherwind.gateway.peer.WitnessService
 import org.heatherwind.gateway.store.AppendCondition
+import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.store.NewRecord
 import org.heatherwind.gateway.store.RecordStore
 import org.heatherwind.gateway.store.StreamAppend
@@ -60,6 +62,35 @@
             }
         }
 
+    /** Pattern: a request of a customer with ample tokens, at one of 83 routers, needs a higher ceiling. */
+    @TestFactory
+    fun `given a large fleet when a request waits for a report then it is sent within a tenth of an aim`() =
+        (1..SEEDS).map { seed ->
+            DynamicTest.dynamicTest("seed $seed") {
+                runTest {
+                    val random = Random(seed)
+                    val store = MemoryRecordStore(MemoryRecords(), random, backgroundScope, faultProbability = 0.0)
+                    val reports = PeerReports(self, clock(), DecisionLog(clock(), GatewayMetrics()))
+                    val publisher = publisherOf(store, NoBudgets, reports)
+                    val running = launch { publisher.run(onFenced = {}) }
+                    delay(1_000 + random.nextLong(1_000))
+                    reports.onRecords((1..OTHER_ROUTERS).map { reportOf("other-$it") })
+                    repeat(REPORTS) {
+                        val requestedAt = currentTime
+                        publisher.requestReportAndWait()
+                        val waitedMilliseconds = currentTime - requestedAt
+                        assertTrue(waitedMilliseconds <= LONGEST_WAIT_MILLISECONDS, "waited $waitedMilliseconds ms")
+                    }
+                    running.cancel()
+                }
+            }
+        }
+
+    private fun reportOf(name: String): KeyedRecord {
+        val report = RouterReport(incarnation = "$name@1", epoch = 1, sequence = 1, epochMilliseconds = 1)
+        return KeyedRecord(0, name, Json.encodeToString(RouterReport.serializer(), report).encodeToByteArray())
+    }
+
     private fun publish(failingCall: Int) = runTest {
         val records = MemoryRecords()
         val store = MemoryRecordStore(records, Random(1), backgroundScope, faultProbability = 0.0)
@@ -74,16 +105,21 @@
         running.cancel()
     }
 
-    private fun TestScope.publisherOf(store: RecordStore, budgets: BudgetReportSource): ReportPublisher {
-        val clock = MonotonicClock { MonotonicTime(currentTime) }
+    private fun TestScope.clock() = MonotonicClock { MonotonicTime(currentTime) }
+
+    private fun TestScope.publisherOf(
+        store: RecordStore,
+        budgets: BudgetReportSource,
+        reports: PeerReports = PeerReports(self, clock(), DecisionLog(clock(), GatewayMetrics())),
+    ): ReportPublisher {
+        val clock = clock()
         val log = DecisionLog(clock, GatewayMetrics())
-        val self = Incarnation.of(InstanceId("router-1"), Timestamp(1))
         return ReportPublisher(
             self = self,
             store = store,
             clock = clock,
             log = log,
-            peerReports = PeerReports(self, clock, log),
+            peerReports = reports,
             predecessorCharges = PredecessorCharges(self, Timestamp(1), NoWitnesses, log),
             wallClock = { Timestamp(1 + currentTime) },
             isLeaving = { false },
@@ -144,6 +180,12 @@
     private companion object {
         const val SEEDS = 10
         const val STOPS = 200
+        const val OTHER_ROUTERS = 82
+        const val REPORTS = 20
+
+        /** A tenth of the aim of 500 ms for a request that is of middle size. */
+        const val LONGEST_WAIT_MILLISECONDS = 50L
+        val self = Incarnation.of(InstanceId("router-1"), Timestamp(1))
         const val FAULTS = 0.2
         const val ANSWER_DELAY_MILLISECONDS = 100L
 
