--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -6,6 +6,7 @@
 import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
+import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.gateway.http.socketAddressOf
 import org.heatherwind.gateway.peer.WitnessReference
 import org.heatherwind.gateway.store.KeyedRecord
@@ -31,6 +32,10 @@
     /** The newest report of this instance, by this process or a predecessor. */
     val latestOfThisInstance: RouterReport? get() = latestByInstance[self.instance]?.report
 
+    /** The newest wall-clock time in the last reports of all routers. */
+    val latestTimestamp: Timestamp?
+        get() = latestByInstance.values.maxOfOrNull { it.report.epochMilliseconds }?.let { Timestamp(it) }
+
     /**
      * Number of live routers, this one included. A router is live while it reports and is not draining. Time during
      * which this router cannot read the store is not counted as time without a report.
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorCharges.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorCharges.kt
@@ -31,11 +31,18 @@
      * Between its last report and the start of this process it may have charged up to its ceiling, which grows with
      * the elapsed time, or up to the ceilings that its witness stored. Without a response from the witness, the upper
      * bound is the highest ceiling that the witness may have stored. If the elapsed time is negative, the wall clock
-     * was set back, and there is no upper bound.
+     * was set back, and there is no upper bound. A clock that was set back by less is noticed where another router
+     * reported later, at [latestReportAt]: the larger elapsed time counts.
      */
-    suspend fun recordFinalReport(report: RouterReport) {
+    suspend fun recordFinalReport(report: RouterReport, latestReportAt: Timestamp? = null) {
         if (report.incarnation == self.value) return
-        val elapsedMilliseconds = startedAt.millisecondsSince(Timestamp(report.epochMilliseconds))
+        val reportedAt = Timestamp(report.epochMilliseconds)
+        val ownMilliseconds = startedAt.millisecondsSince(reportedAt)
+        val elapsedMilliseconds = if (ownMilliseconds < 0) {
+            ownMilliseconds
+        } else {
+            maxOf(ownMilliseconds, latestReportAt?.millisecondsSince(reportedAt) ?: 0)
+        }
         val isWitnessPossible = elapsedMilliseconds < 0 ||
             elapsedMilliseconds > SpendCeiling.WITNESS_MILLISECONDS - CLOCK_MARGIN_MILLISECONDS
         val witnessed = report.witness?.takeIf { isWitnessPossible }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
@@ -266,7 +266,7 @@
         if (outcome !is StreamAppend.Appended || !readAll()) return false
         epoch = nextEpoch
         sequence = 0
-        peerReports.latestOfThisInstance?.let { predecessorCharges.recordFinalReport(it) }
+        peerReports.latestOfThisInstance?.let { predecessorCharges.recordFinalReport(it, peerReports.latestTimestamp) }
         isFenced = true
         log.stateChange(
             "reports",
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/PredecessorChargesTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/PredecessorChargesTest.kt
@@ -22,6 +22,7 @@
         val elapsedMilliseconds: Long,
         val witnessed: Map<String, Long>? = null,
         val hasWitness: Boolean = true,
+        val latestReportMilliseconds: Long? = null,
         val atMost: Long,
     )
 
@@ -41,6 +42,13 @@
             atMost = 5_475,
         ),
         Case("a long time since the last report, the witness does not respond", 4_000, atMost = 8_500),
+        Case(
+            "a wall clock that was set back by less than the time passed: the reports of others count",
+            elapsedMilliseconds = 500,
+            hasWitness = false,
+            latestReportMilliseconds = 4_000,
+            atMost = 5_475,
+        ),
         Case("a long time since the last report, no witness", 4_000, hasWitness = false, atMost = 5_475),
     )
 
@@ -56,7 +64,10 @@
                         witnesses = FixedWitnesses(case.witnessed),
                         log = DecisionLog(clock, GatewayMetrics()),
                     )
-                    predecessorCharges.recordFinalReport(reportOf(case))
+                    predecessorCharges.recordFinalReport(
+                        report = reportOf(case),
+                        latestReportAt = case.latestReportMilliseconds?.let { Timestamp(REPORTED_AT + it) },
+                    )
                     val expected = mapOf(CustomerId("studio") to HolderCharge(atLeast = 1_000, atMost = case.atMost))
                     assertEquals(expected, predecessorCharges.charges[Incarnation(PREDECESSOR)])
                 }
