--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -73,6 +73,7 @@
 import org.heatherwind.gateway.state.TargetPaces
 import org.heatherwind.gateway.state.TargetSubscriber
 import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StoreCallCounter
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.EventLoopDelay
@@ -89,7 +90,7 @@
 public class GatewayProcess(
     private val settings: GatewaySettings,
     private val group: EventLoopGroup,
-    private val store: RecordStore,
+    store: RecordStore,
     private val documents: FleetDocuments,
     private val protocol: CallerProtocol,
     private val startedAt: Timestamp = WallClock.system.now(),
@@ -112,6 +113,8 @@
         coldCeilingOf = { coldCeilingOf(it) },
     )
     private val state: FleetState = FleetState { paces.sharingOf(it) }
+    private val storeCalls = StoreCallCounter(documents, metrics, log)
+    private val store = storeCalls.counted(store)
     private val stopped = CompletableDeferred<Unit>()
     private val client = TargetClient(eventLoop, clock)
     private val peerClient = PeerClient(SimpleHttpClient(eventLoop, clock), log)
@@ -137,7 +140,7 @@
     )
     private val rollouts: RolloutManager = RolloutManager(
         self = self,
-        store = store,
+        store = this.store,
         documents = documents,
         state = state,
         policy = RolloutPolicy(settings.exposureLimit),
@@ -149,7 +152,7 @@
     private val predecessorCharges = PredecessorCharges(self, startedAt, witnessClient, log)
     private val reports = ReportPublisher(
         self = self,
-        store = store,
+        store = this.store,
         clock = clock,
         log = log,
         peerReports = peerReports,
@@ -171,7 +174,7 @@
     ) { peerReports.liveCount() }
     private val bodyMemory = MemoryLimit(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
     private val responseMemory = MemoryLimit(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR)
-    private val ledgers = BudgetLedgers(store, settings.partitionsPerStream)
+    private val ledgers = BudgetLedgers(this.store, settings.partitionsPerStream)
     private val customerOf = { id: CustomerId -> state.routes?.customerById(id) }
     private val fleetBudgets = FleetBudgetView(peerReports, customerOf)
     private val policy = GrantPolicy()
@@ -258,7 +261,9 @@
         reports.budgets = budgets
         scope.launch {
             reports.run(onFenced = {
-                scope.launch { PredecessorGrants(self, ledgers, predecessorCharges, log).closeAll() }
+                scope.launch {
+                    PredecessorGrants(self, ledgers, predecessorCharges, log, peerReports::liveCount).closeAll()
+                }
             })
         }
         scope.launch { reports.runWitnessUpdates() }
@@ -334,6 +339,7 @@
             eventLoopDelay.run(clock.now())
             log.loggingFailures("maintenance") {
                 budgets.rebalance()
+                storeCalls.logWhenDue(clock.now(), peerReports.liveCount())
                 client.closeUnused()
             }
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -56,6 +56,11 @@
     private val waits = Histogram.builder().name("heatherwind_admission_wait_seconds")
         .help("Time that requests waited at the router for a target, by service.").labelNames("service")
         .classicOnly().register(registry)
+    private val storeCalls = Counter.builder().name("heatherwind_store_calls_total")
+        .help("Calls to the store, by purpose and outcome (done, conflict, failed).")
+        .labelNames("purpose", "outcome").register(registry)
+    private val storeBytes = Counter.builder().name("heatherwind_store_bytes_total")
+        .help("Bytes of records sent to and read from the store, by purpose.").labelNames("purpose").register(registry)
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
@@ -126,6 +131,12 @@
         waits.labelValues(service).observe(milliseconds / MILLISECONDS_PER_SECOND)
     }
 
+    /** Counts a call to the store for [purpose] that ended with [outcome] and carried [bytes] of records. */
+    internal fun countStoreCall(purpose: String, outcome: String, bytes: Int) {
+        storeCalls.labelValues(purpose, outcome).inc()
+        storeBytes.labelValues(purpose).inc(bytes.toDouble())
+    }
+
     /** Counts a log line that was dropped. */
     public fun countDroppedLine() {
         droppedLines.inc()
