Read what is known of cold targets

Cause: the time for which a target stays cold was checked and dropped, and the requests that it bears meanwhile were not read. Change: an entry's time becomes a deadline when the entry is first read; an entry that is read again changes nothing, and a newer one or an answer of the target replaces it. Times that are negative or longer than an hour are refused. Nothing acts on it yet.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -22,6 +22,9 @@
     /** Until when the target is cold, as it or the list of targets has stated last. */
     public var coldUntil: MonotonicTime = MonotonicTime.distantPast
 
+    /** Offset of the newest entry from which [coldUntil] was taken. */
+    private var coldOffset = -1L
+
     /** In-flight requests of this router on the target. */
     public var inFlightRequests: Int = 0
         private set
@@ -56,6 +59,21 @@
     public fun isOpen(now: MonotonicTime): Boolean = !isReplaced && availability.isOpen(now) &&
         pace.isOpen(inFlightRequests, now)
 
+    /**
+     * Records at [now] that the target stays cold for [milliseconds], as its entry at [offset] of the list of targets
+     * states. An entry that is read again, or after a newer one, changes nothing.
+     */
+    public fun recordListedCold(milliseconds: Long, offset: Long, now: MonotonicTime) {
+        if (offset <= coldOffset) return
+        coldOffset = offset
+        recordStatedCold(milliseconds, now)
+    }
+
+    /** Records that the target has stated in an answer, received at [now], to stay cold for [milliseconds]. */
+    public fun recordStatedCold(milliseconds: Long, now: MonotonicTime) {
+        coldUntil = if (milliseconds > 0) now.plusMilliseconds(milliseconds) else MonotonicTime.distantPast
+    }
+
     /** Returns the cached prefix tokens of a prompt, as estimated from the prompts known to have been sent here. */
     public fun cachedTokens(tokens: TokenDemand): Long = prefixCache.cachedTokens(tokens.parts)
 
--- a/core/src/main/kotlin/org/heatherwind/core/target/TargetEntry.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/target/TargetEntry.kt
@@ -35,4 +35,9 @@
     /** Returns whether [other] is known to describe the same process, whatever its address. */
     public fun isSameLifeAs(other: TargetEntry): Boolean = id == other.id && startedAtEpochMilliseconds != null &&
         startedAtEpochMilliseconds == other.startedAtEpochMilliseconds
+
+    public companion object {
+        /** The times for which a target may state to stay cold. A longer one is an error: targets warm up in seconds. */
+        public val COLD_MILLISECONDS: LongRange = 0L..3_600_000L
+    }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewaySettings.kt
@@ -13,6 +13,9 @@
  * @property partitionsPerStream number of partitions that the store has for each stream
  * @property exposureLimit share of a service's requests that a new version may get before its roll-out is completed
  * @property targetDrainMilliseconds time from the entry of a target that drains until it may get no more requests
+ * @property coldOverage factor by which the requests per second of a cold target may exceed what it bears
+ * @property coldSlack requests that a cold target may get beside that in any second
+ * @property evacuationMilliseconds time from the order to evacuate a data centre until its targets get no more requests
  */
 public data class GatewaySettings(
     val instance: InstanceId,
@@ -28,6 +31,9 @@
     val partitionsPerStream: Int,
     val targetDrainMilliseconds: Long = 2_000,
     val exposureLimit: Double = 0.1,
+    val coldOverage: Double = 1.0,
+    val coldSlack: Double = 0.0,
+    val evacuationMilliseconds: Long = 5_000,
 )
 
 /**
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
@@ -48,6 +48,7 @@
  * @property isSigned whether the response comes from the target's service and not from an intermediary
  * @property isLeaving whether the target announces that it leaves
  * @property retryAfterSeconds how long the target wants no further requests, not a number if it is malformed, or null
+ * @property coldMilliseconds how much longer the target stays cold, negative if it is malformed, or null
  */
 public data class TargetResponseHead(
     val status: Int,
@@ -58,6 +59,7 @@
     val load: ReportedLoad?,
     val isLeaving: Boolean = false,
     val retryAfterSeconds: Double? = null,
+    val coldMilliseconds: Long? = null,
 )
 
 /** Translates between HTTP headers and the router's own types. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetNotices.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetNotices.kt
@@ -3,6 +3,7 @@
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.target.TargetAvailability
+import org.heatherwind.core.target.TargetEntry
 import org.heatherwind.gateway.protocol.TargetResponseHead
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.GatewayMetrics
@@ -22,6 +23,17 @@
         if (!isOfTarget) return
         if (head.isLeaving && !target.availability.isLeaving) recordLeaving(target, head)
         if (head.status == UNAVAILABLE) head.retryAfterSeconds?.let { recordPause(target, it) }
+        head.coldMilliseconds?.let { recordCold(target, it) }
+    }
+
+    private fun recordCold(target: TargetLoad, milliseconds: Long) {
+        if (milliseconds in TargetEntry.COLD_MILLISECONDS) return target.recordStatedCold(milliseconds, clock.now())
+        log.stateChange(
+            SUBJECT,
+            "Ignored an invalid cold time of a target.",
+            "target" to target.entry.id.value,
+            "milliseconds" to milliseconds,
+        )
     }
 
     private fun recordLeaving(target: TargetLoad, head: TargetResponseHead) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetSubscriber.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetSubscriber.kt
@@ -17,7 +17,9 @@
 ) : StreamSubscriber {
     override fun onSnapshot(records: List<KeyedRecord>) {
         val now = clock.now()
-        state.adoptDirectory(state.directory.withEntries(records.mapNotNull { parse(it) }, now))
+        val entries = records.mapNotNull { record -> parse(record)?.let { record.offset to it } }
+        state.adoptDirectory(state.directory.withEntries(entries.map { it.second }, now))
+        entries.forEach { (offset, entry) -> recordCold(entry, offset, now) }
         state.isDirectoryRead = true
         log.stateChange("targets", "Read all entries of the list of targets.", "count" to state.directory.entries.size)
     }
@@ -25,10 +27,11 @@
     override fun onRecords(records: List<KeyedRecord>) {
         val now = clock.now()
         var directory = state.directory
+        val offsets = HashMap<TargetId, Long>()
         for (record in records) {
             val id = TargetId(record.key)
             val existing = directory.entries[id]
-            val entry = parse(record)
+            val entry = parse(record)?.also { offsets[id] = record.offset }
             if (entry == null) {
                 if (existing != null) {
                     log.stateChange("targets", "A target was removed from the list.", "target" to id.value)
@@ -40,11 +43,17 @@
                     if (existing == null) "A target was added to the list." else "A target's entry changed.",
                     "target" to id.value,
                     "draining" to entry.isDraining,
+                    "coldMilliseconds" to entry.coldMilliseconds,
                 )
                 directory = directory.with(entry)
             }
         }
         state.adoptDirectory(directory)
+        offsets.forEach { (id, offset) -> directory.entries[id]?.let { recordCold(it, offset, now) } }
+    }
+
+    private fun recordCold(entry: TargetEntry, offset: Long, now: MonotonicTime) {
+        state.loadOf(entry.id)?.recordListedCold(entry.coldMilliseconds, offset, now)
     }
 
     override fun onCurrent(now: MonotonicTime, isReconnected: Boolean) {
