--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -57,6 +57,7 @@
 import org.heatherwind.gateway.state.BudgetLedgers
 import org.heatherwind.gateway.state.BudgetManager
 import org.heatherwind.gateway.state.CombinedSubscriber
+import org.heatherwind.gateway.state.EvacuationSubscriber
 import org.heatherwind.gateway.state.FleetBudgetView
 import org.heatherwind.gateway.state.FleetDocuments
 import org.heatherwind.gateway.state.FleetState
@@ -254,7 +255,13 @@
         follow(
             { PLAN_POLLING },
             documents.planPartition,
-            CombinedSubscriber(listOf(rollouts.orders, PlanSubscriber(state, documents, log))),
+            CombinedSubscriber(
+                listOf(
+                    EvacuationSubscriber(state, documents, clock, log),
+                    rollouts.orders,
+                    PlanSubscriber(state, documents, log),
+                ),
+            ),
         )
         follow({ targetPolling }, documents.targetPartition, TargetSubscriber(state, documents, clock, log))
         follow(peerReports::pollingPolicy, ReportPublisher.partition, peerReports)
@@ -374,7 +381,7 @@
     private fun readiness(): SimpleResponse = SimpleResponse(if (isReady()) OK else UNAVAILABLE, ByteArray(0))
 
     private fun coldCeilingOf(service: ServiceId): ColdCeiling? = state.routes?.plan?.services?.get(service)
-        ?.coldRequestsPerSecond?.let { ColdCeiling(it, COLD_OVERAGE, COLD_SLACK) }
+        ?.coldRequestsPerSecond?.let { ColdCeiling(it, settings.coldOverage, settings.coldSlack) }
 
     private fun registerGauges() {
         metrics.gaugeByService("heatherwind_paced_targets", "Targets whose pace is limited at present, by service.") {
@@ -396,6 +403,12 @@
         metrics.gauge("heatherwind_plan_version", "Version of the routing plan in force.") {
             (state.routes?.plan?.version ?: 0).toDouble()
         }
+        metrics.gauge("heatherwind_evacuated_data_centres", "Data centres whose targets get no new requests.") {
+            state.evacuations.dataCentres.size.toDouble()
+        }
+        metrics.gauge("heatherwind_evacuated_services", "Services without a target outside evacuated data centres.") {
+            state.evacuatedServices().size.toDouble()
+        }
         metrics.gauge("heatherwind_blocked_suspects", "Prompt parts and requests that are refused for crashes.") {
             crashes.blockedCount.toDouble()
         }
@@ -416,10 +429,6 @@
         const val MILLISECONDS_PER_SECOND = 1_000.0
         const val BYTES_PER_MEGABYTE = 1_048_576L
 
-        /** Cold targets get what they bear, and no more in any second. */
-        const val COLD_OVERAGE = 1.0
-        const val COLD_SLACK = 0.0
-
         /** Request bodies may use one eighth of the process's memory. */
         const val BODY_MEMORY_DIVISOR = 8
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
@@ -49,6 +49,7 @@
  * @property hasInvalidLoad whether the target's load report has a figure that can't be used
  * @property isLeaving whether the target announces that it leaves
  * @property retryAfterSeconds how long the target wants no further requests, not a number if it is malformed, or null
+ * @property coldMilliseconds how much longer the target stays cold, negative if it is malformed, or null
  */
 public data class TargetResponseHead(
     val status: Int,
@@ -60,6 +61,7 @@
     val hasInvalidLoad: Boolean = false,
     val isLeaving: Boolean = false,
     val retryAfterSeconds: Double? = null,
+    val coldMilliseconds: Long? = null,
 )
 
 /** Translates between HTTP headers and the router's own types. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -60,7 +60,7 @@
             val placement = gate.awaitPlacement(triedTargets, ::choose) ?: return null
             if (sentAttempts == 0) context.retries.recordFirstAttempt(service, context.clock.now())
             val attempt = newAttempt(placement)
-            val result = attempt.connect()
+            val result = connect(attempt)
             if (result == null) return attempt.apply { send() }
             recordResult(attempt, result)
         }
@@ -100,7 +100,7 @@
      * not take over without an answer if the current target goes on with its own.
      */
     private suspend fun startBeside(attempt: TargetAttempt, current: TargetAttempt): AttemptResult? {
-        attempt.connect()?.let { return it }
+        connect(attempt)?.let { return it }
         attempt.send()
         val result = attempt.awaitAnswer(context.clock.now().plusMilliseconds(MAXIMUM_OVERLAP_MILLISECONDS))
         if (result != null || attempt.hasAnswered || !current.isGoingOn) return result
@@ -108,6 +108,13 @@
         return AttemptResult.Incomplete("no answer before the first target went on")
     }
 
+    /** Connects [attempt]. Returns null if its request may be sent, or its result. */
+    private suspend fun connect(attempt: TargetAttempt): AttemptResult? {
+        attempt.connect()?.let { return it }
+        if (!context.state.isEvacuated(attempt.placement.target)) return null
+        return AttemptResult.NotSent("the data centre was evacuated").also { attempt.end(it) }
+    }
+
     private fun takeSuccessor(): TargetAttempt? = successor.also { successor = null }
 
     private fun isBlocked(): Boolean {
@@ -152,11 +159,12 @@
     }
 
     /** Returns the error for the caller, who may come back when room is expected if the targets had none. */
-    private fun finalError(): RouterError = when (error.code) {
-        ResultCode.NO_TARGET_FREE, ResultCode.TARGET_REFUSED ->
-            error.copy(retryAfterMilliseconds = gate.retryAfterMilliseconds())
+    private fun finalError(): RouterError = when {
+        error.code != ResultCode.NO_TARGET_FREE && error.code != ResultCode.TARGET_REFUSED -> error
+
+        context.state.isEvacuated(service) -> error.copy(retryAfterMilliseconds = EVACUATION_RETRY_AFTER_MILLISECONDS)
 
-        else -> error
+        else -> error.copy(retryAfterMilliseconds = gate.retryAfterMilliseconds())
     }
 
     private fun chooseAmong(candidates: List<TargetLoad>, isSharedCacheAssumed: Boolean): Placement? {
@@ -269,6 +277,8 @@
         /** Maximum number of targets tried for a request, including those that accept no connection. */
         const val MAXIMUM_TARGETS = 4
 
+        /** Evacuations last for seconds. A caller that returns at once is refused again, and most return only once. */
+        const val EVACUATION_RETRY_AFTER_MILLISECONDS = 2_000L
         const val DEFAULT_CONNECTIONS = 100
 
         /** Fraction of a target's connections shared by the routers; the rest is for health checks and uneven use. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -9,6 +9,7 @@
 import org.heatherwind.core.placement.PaceCause
 import org.heatherwind.core.placement.PaceSharing
 import org.heatherwind.core.placement.TargetLoad
+import org.heatherwind.core.target.Evacuations
 import org.heatherwind.core.target.TargetAvailability
 import org.heatherwind.core.target.TargetDirectory
 import org.heatherwind.core.target.TargetEntry
@@ -26,6 +27,7 @@
     private val removed = object : LinkedHashMap<TargetId, RemovedTarget>() {
         override fun removeEldestEntry(eldest: Map.Entry<TargetId, RemovedTarget>): Boolean = size > MAXIMUM_REMOVED
     }
+    private val registered = HashMap<ServiceId, List<TargetLoad>>()
     private val candidates = HashMap<ServiceId, List<TargetLoad>>()
 
     /** Routes and customers of the newest plan, or null until the first plan has been read. */
@@ -36,6 +38,10 @@
     var directory = TargetDirectory()
         private set
 
+    /** The evacuated data centres. */
+    var evacuations = Evacuations()
+        private set
+
     /** Time of the last read that confirmed [routes] to be of the newest plan. */
     var planCheckedAt = MonotonicTime.distantPast
 
@@ -60,6 +66,7 @@
     fun adoptDirectory(updated: TargetDirectory, now: MonotonicTime = MonotonicTime.distantPast) {
         if (updated === directory) return
         directory = updated
+        registered.clear()
         candidates.clear()
         loads.values.filter { it.entry.id !in updated.entries && it.availability != TargetAvailability() }
             .forEach { removed[it.entry.id] = RemovedTarget(it.entry, it.availability) }
@@ -98,11 +105,36 @@
     /** The load of [target], or null if the target is not registered. */
     fun loadOf(target: TargetId): TargetLoad? = loads[target]
 
-    /** Targets of [service] that accept new requests. */
-    fun candidatesOf(service: ServiceId): List<TargetLoad> = candidates.getOrPut(service) {
+    /** Adopts the evacuations in force at [now]. Targets whose evacuation has ended are eased in. */
+    fun adoptEvacuations(updated: Evacuations, now: MonotonicTime) {
+        if (updated === evacuations) return
+        val ended = evacuations.dataCentres - updated.dataCentres
+        evacuations = updated
+        candidates.clear()
+        loads.values.filter { it.entry.dataCentre in ended }
+            .forEach { it.pace.begin(PaceCause.EVACUATION_ENDED, now) }
+    }
+
+    /** Whether [target] is in an evacuated data centre, so that it gets no new requests. */
+    fun isEvacuated(target: TargetLoad): Boolean = target.entry.dataCentre in evacuations
+
+    /** Targets of [service] that accept new requests, also those in evacuated data centres. */
+    fun registeredOf(service: ServiceId): List<TargetLoad> = registered.getOrPut(service) {
         directory.candidatesOf(service).mapNotNull { loads[it.id] }
     }
 
+    /** Targets of [service] that may get new requests. */
+    fun candidatesOf(service: ServiceId): List<TargetLoad> = candidates.getOrPut(service) {
+        registeredOf(service).filterNot { isEvacuated(it) }
+    }
+
+    /** Whether all targets of [service] are in evacuated data centres. */
+    fun isEvacuated(service: ServiceId): Boolean = registeredOf(service).isNotEmpty() && candidatesOf(service).isEmpty()
+
+    /** The services all of whose targets are in evacuated data centres. */
+    fun evacuatedServices(): List<ServiceId> =
+        directory.entries.values.mapTo(LinkedHashSet()) { it.service }.filter { isEvacuated(it) }
+
     private class RemovedTarget(val entry: TargetEntry, val availability: TargetAvailability)
 
     private companion object {
