Offer waiting requests once more, and leave begun streams out of order

Streams that had begun were refused as lost, since the caller's patience counted from the arrival. A request whose targets were all tried kept the turn. A rejection for overload refused those whose wait ended within its 60 ms, and nothing lifted it. One that the room had no place for was sent first. Crash protection was not asked again after the wait, and a retry was spent before it. Turns were shared by ranks, ranks with gaps fell together at engines, and requests drawn for a new version stayed with its full targets.

A stream that has begun counts from the loss of its target, goes first and is not refused for its prediction. A rejection is waited out, or ignored when the wait is over; a success or a report of free places ends it. A request that has tried some target passes its call on. WaitResult tells a time that is over from too many requests; the latter are refused with the reason "evicted". SendPermission is asked after the wait and spends a retry there. Turns are counted for each rank, engines get a rank's position in the plan, and full targets of a new version leave a request to the established ones.

Measured: single classes of core, gateway and platform pass (admission, waiting, prospect, urgency, placement, target, send permission, paths of waiting requests).

--- a/core/src/main/kotlin/org/heatherwind/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/admission/AdmissionPolicy.kt
@@ -11,9 +11,19 @@
      */
     public fun decide(work: WorkRequest, prospect: Prospect, now: MonotonicTime): AdmissionDecision {
         val predicted = prospect.predictedMilliseconds
+        val until = waitEnd(work, prospect.resumedAt)
+        val overloadedUntil = prospect.overloadedUntil
         return when {
-            predicted == null -> decideWithoutTarget(work, prospect, now)
-            prospect.hasFreePlace || !isLost(work, predicted, now) -> AdmissionDecision.Send
+            predicted == null -> decideWithoutTarget(work, prospect, until, now)
+
+            // The target is asked once more when its rejection is over, or when the request can't wait for that.
+            overloadedUntil != null && now < minOf(until, overloadedUntil) ->
+                AdmissionDecision.Wait(maxOf(until, overloadedUntil))
+
+            prospect.hasFreePlace || prospect.resumedAt != null -> AdmissionDecision.Send
+
+            !isLost(work, predicted, now) -> AdmissionDecision.Send
+
             else -> refusal(work, prospect, now)
         }
     }
@@ -34,8 +44,12 @@
     private fun isLost(work: WorkRequest, predictedMilliseconds: Double, now: MonotonicTime): Boolean =
         predictedMilliseconds / PREDICTION_ERROR > patienceEnd(work).millisecondsSince(now)
 
-    private fun decideWithoutTarget(work: WorkRequest, prospect: Prospect, now: MonotonicTime): AdmissionDecision {
-        val until = waitEnd(work)
+    private fun decideWithoutTarget(
+        work: WorkRequest,
+        prospect: Prospect,
+        until: MonotonicTime,
+        now: MonotonicTime,
+    ): AdmissionDecision {
         val opensInTime = prospect.opensAt.let { it == null || it < until }
         return if (prospect.canOpen && opensInTime && now < until) {
             AdmissionDecision.Wait(until)
@@ -44,10 +58,13 @@
         }
     }
 
-    /** Returns until when [work] may wait; the rest of the objective is left to the target or to another router. */
-    public fun waitEnd(work: WorkRequest): MonotonicTime = minOf(
-        work.receivedAt.plusMilliseconds(work.route.latencyObjectiveMilliseconds / WAIT_DIVISOR),
-        patienceEnd(work),
+    /**
+     * Returns until when [work] may wait; the rest of the objective is left to the target or to another router. The wait
+     * counts from [resumedAt] if a part of the answer was forwarded, since callers leave after a gap.
+     */
+    public fun waitEnd(work: WorkRequest, resumedAt: MonotonicTime? = null): MonotonicTime = minOf(
+        (resumedAt ?: work.receivedAt).plusMilliseconds(work.route.latencyObjectiveMilliseconds / WAIT_DIVISOR),
+        if (resumedAt == null) patienceEnd(work) else work.deadline,
     )
 
     private fun refusal(work: WorkRequest, prospect: Prospect, now: MonotonicTime) = AdmissionDecision.Refuse(
--- a/core/src/main/kotlin/org/heatherwind/core/admission/WaitingOrder.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/admission/WaitingOrder.kt
@@ -12,10 +12,10 @@
  */
 public class WaitingOrder(private val capacity: Int) {
     private val waiting = LinkedHashSet<WaitingRequest>()
-    private val nextTurns = HashMap<CustomerId?, Long>()
+    private val nextTurns = HashMap<Pair<Int, CustomerId?>, Long>()
 
-    /** Turn of the last request that got a place; a customer that comes later begins there. */
-    private var currentTurn = 0L
+    /** Turn of the last request of each rank that got a place; a customer that comes later begins there. */
+    private val currentTurns = HashMap<Int, Long>()
     private var places = 0L
 
     /** Number of requests that wait. */
@@ -30,25 +30,35 @@
     }
 
     private fun takeTurn(request: WaitingRequest): Long {
-        val turn = maxOf(nextTurns[request.customer] ?: currentTurn, currentTurn)
-        nextTurns[request.customer] = turn + 1
+        val key = request.rank to request.customer
+        val currentTurn = currentTurns[request.rank] ?: 0
+        val turn = maxOf(nextTurns[key] ?: currentTurn, currentTurn)
+        nextTurns[key] = turn + 1
         return if (request.wasRefused) turn - 1 else turn
     }
 
     /** Removes [request], which waits no longer. */
     public fun remove(request: WaitingRequest) {
         waiting -= request
-        if (waiting.isEmpty()) nextTurns.clear()
+        if (waiting.isNotEmpty()) return
+        nextTurns.clear()
+        currentTurns.clear()
     }
 
-    /** Returns the request that is to get the next place, or null if none waits. */
-    public fun next(): WaitingRequest? =
-        if (places % FAIR_SHARE == FAIR_SHARE - 1) waiting.minByOrNull { it.arrivedAt } else waiting.minWithOrNull(order)
+    /** Returns the request that is to get the next place and is not among [passed], or null if there is none. */
+    public fun next(passed: Set<WaitingRequest> = emptySet()): WaitingRequest? {
+        val rest = if (passed.isEmpty()) waiting else waiting.filterNot { it in passed }
+        val isForLongest = places % FAIR_SHARE == FAIR_SHARE - 1
+        return if (isForLongest) rest.minByOrNull { it.arrivedAt } else rest.minWithOrNull(order)
+    }
+
+    /** Returns whether [request] waits. */
+    public operator fun contains(request: WaitingRequest): Boolean = request in waiting
 
     /** Removes [request], which got a place. */
     public fun recordPlaced(request: WaitingRequest) {
         places++
-        request.turn?.let { currentTurn = maxOf(currentTurn, it) }
+        request.turn?.let { currentTurns[request.rank] = maxOf(currentTurns[request.rank] ?: 0, it) }
         remove(request)
     }
 
--- a/core/src/main/kotlin/org/heatherwind/core/admission/WaitingRequest.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/admission/WaitingRequest.kt
@@ -11,6 +11,7 @@
  * @property until when waiting no longer helps
  * @property arrivedAt when the request arrived at this router
  * @property wasRefused whether the same request was refused here a moment ago
+ * @property isRestricted whether it has tried some target, so that another may find one where it finds none
  */
 public class WaitingRequest(
     public val rank: Int,
@@ -18,6 +19,7 @@
     public val until: MonotonicTime,
     public val arrivedAt: MonotonicTime,
     public val wasRefused: Boolean = false,
+    public val isRestricted: Boolean = false,
 ) {
     /** How many requests of its customer go before it, counted from when the customer last had none waiting. */
     internal var turn: Long? = null
--- a/core/src/main/kotlin/org/heatherwind/core/fleet/RoutingPlan.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/fleet/RoutingPlan.kt
@@ -19,8 +19,11 @@
     val customers: ImmutableList<Customer>,
     val limits: CallerLimits,
 ) {
-    /** Whether the requests to model engines differ in rank. A customer's rank replaces the route's. */
-    public val isRanked: Boolean by lazy {
+    /** Whether the requests to model engines differ in rank. */
+    public val isRanked: Boolean get() = engineRanks.size > 1
+
+    /** The distinct ranks of requests to model engines, in order. A customer's rank replaces the route's. */
+    public val engineRanks: List<Int> by lazy {
         val generationRoutes = routes.filter { route ->
             route.destinations.any { services[it.service]?.engine != null }
         }
@@ -28,7 +31,7 @@
             val ofCustomers = customers.map { it.priority ?: route.priority }
             if (route.isPublic || customers.isEmpty()) ofCustomers + route.priority else ofCustomers
         }
-        ranks.size > 1
+        ranks.sorted()
     }
 }
 
--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -20,7 +20,22 @@
     public val prefillMilliseconds: Double,
     public val expectedMilliseconds: Double,
     public val predictedMilliseconds: Double = expectedMilliseconds,
-)
+) {
+    public companion object {
+        /**
+         * Returns [introduced], the placement at a target of a version that is being introduced, if there is one and the
+         * target has not just rejected a request for overload at [now]; otherwise the [established] one if there is one.
+         */
+        public fun introducedOrElse(
+            introduced: Placement?,
+            now: MonotonicTime,
+            established: () -> Placement?,
+        ): Placement? {
+            val isFull = introduced != null && now < introduced.target.overloadedUntil
+            return if (introduced == null || isFull) established() ?: introduced else introduced
+        }
+    }
+}
 
 /** Chooses the target of a request from this router's view of the targets. */
 public object PlacementPolicy {
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -199,6 +199,7 @@
         reportedSlots = slots
         reportedAt = now
         slowdown?.let { speed.recordReport(it, now) }
+        if (waiting == 0 && running < this.slots) endOverload()
     }
 
     /** Returns the external requests of the last load report; their number decays with the report's age. */
@@ -227,6 +228,7 @@
     /** Records a complete response, which ends a suspicion. */
     public fun recordSuccess(now: MonotonicTime) {
         consecutiveFailures = 0
+        endOverload()
         suspectedUntil = MonotonicTime.distantPast
         pace.recordSuccess(now)
         lastFailureScore = failureScore(now) * SUCCESS_RETENTION
@@ -254,6 +256,12 @@
         suspectedUntil = maxOf(suspectedUntil, overloadedUntil)
     }
 
+    /** Lifts the closure after a rejection, since the target has shown that it has places again. */
+    private fun endOverload() {
+        if (suspectedUntil == overloadedUntil) suspectedUntil = MonotonicTime.distantPast
+        overloadedUntil = MonotonicTime.distantPast
+    }
+
     /** Records at [now] that a connection failed or no response came within the timeout. */
     public fun recordConnectionFailure(now: MonotonicTime) {
         consecutiveFailures++
--- a/core/src/main/kotlin/org/heatherwind/core/placement/UrgencyPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/UrgencyPolicy.kt
@@ -11,12 +11,13 @@
     /**
      * Returns the urgency of [work], 5 for a plain call.
      *
-     * @param isRanked whether the generations of the plan differ in rank; if not, the whole range is used for lengths
+     * @param ranks the distinct ranks of the plan's generations; their positions count, whatever the gaps between them.
+     *   If there is one at most, the whole range is used for lengths
      */
-    public fun urgencyOf(work: WorkRequest, isRanked: Boolean): Int {
+    public fun urgencyOf(work: WorkRequest, ranks: List<Int>): Int {
         val unsharedTokens = work.tokens?.let { it.prompt - it.sharedTokens } ?: return DEFAULT_URGENCY
-        if (!isRanked) return FIRST_UNRANKED_URGENCY + classOf(unsharedTokens, MAXIMUM_TOKENS_BY_UNRANKED_CLASS)
-        val rank = work.rank.coerceIn(0, LAST_RANK)
+        if (ranks.size <= 1) return FIRST_UNRANKED_URGENCY + classOf(unsharedTokens, MAXIMUM_TOKENS_BY_UNRANKED_CLASS)
+        val rank = ranks.count { it < work.rank }.coerceAtMost(LAST_RANK)
         return minOf(rank * URGENCIES_PER_RANK + classOf(unsharedTokens, MAXIMUM_TOKENS_BY_CLASS), LAST_URGENCY)
     }
 
--- a/core/src/test/kotlin/org/heatherwind/core/admission/AdmissionPolicyTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/admission/AdmissionPolicyTest.kt
@@ -29,6 +29,9 @@
         val opensAt: Long? = null,
         val canOpen: Boolean = true,
         val now: Long = 5,
+        val overloadedUntil: Long? = null,
+        val resumedAt: Long? = null,
+        val until: Long = 150,
     )
 
     private val cases = listOf(
@@ -48,6 +51,14 @@
         Case("all targets leave", Expected.REFUSED, canOpen = false),
         Case("half of its objective has passed", Expected.REFUSED, now = 150),
         Case("half of its objective has not passed", Expected.WAITS, now = 149),
+        Case("a stream that goes on late", Expected.SENT, predicted = 5_500.0, now = 4_000, resumedAt = 4_000),
+        Case("a stream that goes on waits from its gap", Expected.WAITS, now = 4_149, resumedAt = 4_000, until = 4_150),
+        Case("a stream that goes on has waited", Expected.REFUSED, now = 4_150, resumedAt = 4_000),
+        Case("its target rejected one", Expected.WAITS, predicted = 50.0, overloadedUntil = 60),
+        Case("rejected, short", Expected.WAITS, stream(objective = 100), 50.0, overloadedUntil = 65, until = 65),
+        Case("rejected late", Expected.WAITS, predicted = 50.0, overloadedUntil = 160, now = 149, until = 160),
+        Case("rejected, its wait is over", Expected.SENT, predicted = 50.0, overloadedUntil = 170, now = 150),
+        Case("the rejection is over", Expected.SENT, predicted = 50.0, overloadedUntil = 60, now = 60),
     )
 
     @TestFactory
@@ -59,11 +70,13 @@
                 opensAt = case.opensAt?.let { MonotonicTime(it) },
                 canOpen = case.canOpen,
                 roomMilliseconds = 200,
+                overloadedUntil = case.overloadedUntil?.let { MonotonicTime(it) },
+                resumedAt = case.resumedAt?.let { MonotonicTime(it) },
             )
             val actual = when (val decision = AdmissionPolicy.decide(case.work, prospect, MonotonicTime(case.now))) {
                 AdmissionDecision.Send -> Expected.SENT
 
-                is AdmissionDecision.Wait -> Expected.WAITS.also { assertEquals(MonotonicTime(150), decision.until) }
+                is AdmissionDecision.Wait -> Expected.WAITS.also { assertEquals(MonotonicTime(case.until), decision.until) }
 
                 is AdmissionDecision.Refuse -> Expected.REFUSED
             }
--- a/core/src/test/kotlin/org/heatherwind/core/admission/WaitingOrderTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/admission/WaitingOrderTest.kt
@@ -44,6 +44,11 @@
                 named("e", customer = "1", wasRefused = true) + named("b", customer = "2"),
             "abcde",
         ),
+        Case(
+            "a customer's turns at one rank do not count at another",
+            List(2) { named("a", rank = 0) } + named("b", rank = 1) + named("c", 1, "small", until = 200),
+            "aabc",
+        ),
         Case("bad ranks", listOf(named("c", Int.MAX_VALUE), named("a", Int.MIN_VALUE), named("b", -1)), "abc"),
     )
 
--- a/core/src/test/kotlin/org/heatherwind/core/placement/UrgencyPolicyTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/UrgencyPolicyTest.kt
@@ -62,11 +62,18 @@
             }
         }
 
+    // Guards against ranks with gaps between them that all count as the last one.
+    @Test
+    fun `given ranks 10, 20 and 30 then they count as 0, 1 and 2`() {
+        val gapped = listOf(10, 20, 30).map { urgency(it, 300, ranks = listOf(10, 20, 30)) }
+        assertEquals(listOf(0, 1, 2).map { urgency(it, 300) }, gapped)
+    }
+
     // The order in use for deployments without ranks.
     @Test
     fun `given one rank for all then the whole range distinguishes lengths`() {
         val urgencies = listOf(500L, 501, 1_000, 2_000, 4_000, 8_000, 16_000, 16_001)
-            .map { UrgencyPolicy.urgencyOf(work(3, it), isRanked = false) }
+            .map { UrgencyPolicy.urgencyOf(work(3, it), ranks = listOf(3)) }
         assertEquals(listOf(1, 2, 2, 3, 4, 5, 6, 7), urgencies)
     }
 
@@ -101,7 +108,8 @@
     private companion object {
         val LENGTHS = listOf(1L, 500, 2_000, 2_001, 16_000, 16_001, 54_600)
 
-        fun urgency(rank: Int, unshared: Long) = UrgencyPolicy.urgencyOf(work(rank, unshared), isRanked = true)
+        fun urgency(rank: Int, unshared: Long, ranks: List<Int> = (0..10).toList()) =
+            UrgencyPolicy.urgencyOf(work(rank, unshared), ranks)
 
         fun work(rank: Int, unshared: Long) = WorkRequest(
             id = "r",
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/AdmissionGate.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/AdmissionGate.kt
@@ -9,7 +9,6 @@
 import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.placement.Placement
-import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.work.WorkRequest
 
 /** Holds one request back until it may be sent to a target of [service], or refuses it. */
@@ -17,10 +16,14 @@
     private val context: ServeContext,
     private val work: WorkRequest,
     private val service: ServiceId,
+    private val progress: DeliveryProgress,
 ) {
     private val room = context.rooms.of(service)
     private var waiting: WaitingRequest? = null
-    private var isWaitOver = false
+    private var lastWait: WaitResult? = null
+
+    /** When the search for another target began, if a part of the answer was forwarded. */
+    private var resumedAt: MonotonicTime? = null
 
     /**
      * Returns the target that [choose] finds, after a wait if there is none at present, or null if the request is refused.
@@ -28,18 +31,25 @@
      * @param tried targets to which the request was sent before
      */
     suspend fun awaitPlacement(tried: Set<TargetId>, choose: () -> Placement?): Placement? {
+        resumedAt = context.clock.now().takeIf { progress.callerResponse.hasStarted }
+        lastWait = null
         try {
-            while (true) {
+            while (lastWait != WaitResult.EVICTED) {
                 val placement = choose()
                 val prospect = prospectOf(placement, tried)
                 val decision = decide(prospect)
-                if (decision != AdmissionDecision.Send) log(decision, prospect)
+                val isFirstWait = waiting == null
+                if (decision != AdmissionDecision.Send && (isFirstWait || decision !is AdmissionDecision.Wait)) {
+                    log(decision, prospect)
+                }
                 when (decision) {
                     AdmissionDecision.Send -> return placement.also { recordPlaced() }
-                    is AdmissionDecision.Wait -> wait(decision.until, prospect)
+                    is AdmissionDecision.Wait -> wait(decision.until, prospect, isRestricted = tried.isNotEmpty())
                     is AdmissionDecision.Refuse -> return null.also { recordRefused(prospect) }
                 }
             }
+            context.metrics.countRefused(service.value, "evicted")
+            return null
         } finally {
             waiting?.let { room.leave(it) }
             waiting = null
@@ -54,7 +64,7 @@
         return RetryAfterPolicy.milliseconds(
             work,
             room.estimate.millisecondsUntilRoom(targets, now),
-            opensAt(targets),
+            Prospect.opensAt(targets, now),
             now,
         )
     }
@@ -62,47 +72,32 @@
     private fun decide(prospect: Prospect): AdmissionDecision {
         val now = context.clock.now()
         val decision = AdmissionPolicy.decide(work, prospect, now)
-        val waitEnd = AdmissionPolicy.waitEnd(work)
+        val waitEnd = AdmissionPolicy.waitEnd(work, resumedAt)
         // Those that wait already go first, in their order.
-        val isBehindOthers = waiting == null && !isWaitOver && room.size > 0 && now < waitEnd
+        val isBehindOthers = waiting == null && lastWait == null && resumedAt == null && room.size > 0 && now < waitEnd
         return if (decision == AdmissionDecision.Send && isBehindOthers) AdmissionDecision.Wait(waitEnd) else decision
     }
 
     private fun prospectOf(placement: Placement?, tried: Set<TargetId>): Prospect {
         val now = context.clock.now()
         val targets = context.rollouts.targetsOf(service)
-        // After its wait a request is offered to a target that was full, which may have a place by now.
-        val target = placement?.target
-        val overloadedUntil = target?.overloadedUntil?.takeIf { !isWaitOver && now < it }
-        return Prospect(
-            predictedMilliseconds = placement?.predictedMilliseconds.takeIf { overloadedUntil == null },
-            hasFreePlace = target != null && hasFreePlace(target, now),
-            opensAt = overloadedUntil ?: opensAt(targets),
-            canOpen = !isWaitOver && targets.any { it.entry.id !in tried && !it.availability.isLeaving },
-            roomMilliseconds = room.estimate.millisecondsUntilRoom(targets, now),
-        )
-    }
-
-    private fun hasFreePlace(target: TargetLoad, now: MonotonicTime): Boolean = target.waitingRequests(now) == 0.0 &&
-        target.inFlightRequests + target.externalRequests(now) < target.entry.slots
-
-    /** Returns when the first of [targets] opens, or null if some have not asked for a pause, or if all leave. */
-    private fun opensAt(targets: List<TargetLoad>): MonotonicTime? {
-        val now = context.clock.now()
-        val staying = targets.map { it.availability }.filterNot { it.isLeaving }
-        return if (staying.any { it.isOpen(now) }) null else staying.minOfOrNull { it.closedUntil }
+        val roomMilliseconds = room.estimate.millisecondsUntilRoom(targets, now)
+        return Prospect.of(placement, targets, tried, roomMilliseconds, now, resumedAt)
     }
 
-    private suspend fun wait(until: MonotonicTime, prospect: Prospect) {
+    private suspend fun wait(until: MonotonicTime, prospect: Prospect, isRestricted: Boolean) {
         val now = context.clock.now()
         val request = waiting ?: WaitingRequest(
-            rank = work.rank,
+            // A caller that has received a part of the answer leaves after a gap.
+            rank = if (resumedAt == null) work.rank else Int.MIN_VALUE,
             customer = work.customer?.id,
             until = until,
             arrivedAt = work.receivedAt,
             wasRefused = context.refusals.contains(work, now),
+            isRestricted = isRestricted,
         ).also { waiting = it }
-        isWaitOver = !room.await(request, isTargetOpen = prospect.predictedMilliseconds != null)
+        val isTargetOpen = prospect.predictedMilliseconds != null && prospect.overloadedUntil == null
+        lastWait = room.await(request, isTargetOpen, until)
         context.metrics.observeWait(service.value, context.clock.now().millisecondsSince(now))
     }
 
@@ -116,7 +111,7 @@
     private fun recordRefused(prospect: Prospect) {
         val reason = when {
             prospect.predictedMilliseconds != null -> "lost"
-            isWaitOver -> "waited"
+            lastWait == WaitResult.TIME_OVER -> "waited"
             else -> "closed"
         }
         context.metrics.countRefused(service.value, reason)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -30,7 +30,8 @@
     /** Attempts in which the request was sent, including misdirected ones. */
     private var sentAttempts = 0
     private val isIntroducedDrawn = context.rollouts.drawIntroduced(service)
-    private val gate = AdmissionGate(context, work, service)
+    private val permission = SendPermission(service, context.retries, context.clock, ::isBlocked)
+    private val gate = AdmissionGate(context, work, service, progress)
     private val room = context.rooms.of(service)
     private var error = RouterError(ResultCode.NO_TARGET_FREE)
 
@@ -56,9 +57,9 @@
 
     /** Sends the request to a target. Returns the attempt, or null if no further target can be tried. */
     private suspend fun startNext(): TargetAttempt? {
-        while (!isBlocked() && mayAttempt()) {
+        while (permission.mayLook(isFirst = sentAttempts == 0) && mayAttempt()) {
             val placement = gate.awaitPlacement(triedTargets, ::choose) ?: return null
-            if (sentAttempts == 0) context.retries.recordFirstAttempt(service, context.clock.now())
+            if (!permission.tryAcquire(isFirst = sentAttempts == 0)) return null
             val attempt = newAttempt(placement)
             val result = connect(attempt)
             if (result == null) return attempt.apply { send() }
@@ -129,11 +130,8 @@
         return context.crashes.recordLostConnection(work, progress.keys, placement.target)
     }
 
-    private fun mayAttempt(): Boolean {
-        val isWithinLimits = triedTargets.size < MAXIMUM_TARGETS && countedAttempts < work.route.maximumTargets &&
-            (!progress.mayHaveRun || mayRetry())
-        return isWithinLimits && (sentAttempts == 0 || context.retries.tryAcquire(service, context.clock.now()))
-    }
+    private fun mayAttempt(): Boolean = triedTargets.size < MAXIMUM_TARGETS &&
+        countedAttempts < work.route.maximumTargets && (!progress.mayHaveRun || mayRetry())
 
     /** Returns whether the request may be sent to another target while the [current] attempt is under way. */
     private fun mayTakeOver(current: TargetAttempt): Boolean =
@@ -155,7 +153,9 @@
         } else {
             null
         }
-        return introduced ?: chooseAmong(context.rollouts.targetsOf(service), isSharedCacheAssumed = true)
+        return Placement.introducedOrElse(introduced, context.clock.now()) {
+            chooseAmong(context.rollouts.targetsOf(service), isSharedCacheAssumed = true)
+        }
     }
 
     /** Returns the error for the caller, who may come back when room is expected if the targets had none. */
@@ -188,6 +188,8 @@
         return PlacementAims(work.receivedAt.plusMilliseconds(objective), objective, context.dataCentre)
     }
 
+    private fun engineRanks(): List<Int> = context.state.routes?.plan?.engineRanks.orEmpty()
+
     private fun newAttempt(placement: Placement): TargetAttempt {
         triedTargets += placement.target.entry.id
         context.metrics.countSend(service.value, isFirst = sentAttempts == 0 && !progress.mayHaveRun)
@@ -199,7 +201,7 @@
             request = request,
             placement = placement,
             progress = progress,
-            urgency = work.tokens?.let { UrgencyPolicy.urgencyOf(work, context.state.routes?.plan?.isRanked == true) },
+            urgency = work.tokens?.let { UrgencyPolicy.urgencyOf(work, engineRanks()) },
             protocol = context.protocol,
             client = context.client,
             clock = context.clock,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/WaitingRoom.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/WaitingRoom.kt
@@ -19,10 +19,25 @@
     fun of(service: ServiceId): WaitingRoom = rooms.getOrPut(service) { WaitingRoom(clock) }
 }
 
+/** How a wait ended. */
+internal enum class WaitResult {
+    /** The request may look for a target. */
+    CALLED,
+
+    /** The time until which it could wait has passed. */
+    TIME_OVER,
+
+    /** Too many others go before it. */
+    EVICTED,
+}
+
 /** The requests that wait at this router for a target of one service. Confined to the event loop. */
 internal class WaitingRoom(private val clock: MonotonicClock, capacity: Int = CAPACITY) {
     private val order = WaitingOrder(capacity)
-    private val calls = HashMap<WaitingRequest, CompletableDeferred<Boolean>>()
+    private val calls = HashMap<WaitingRequest, CompletableDeferred<WaitResult>>()
+
+    /** Requests that found no target since the last [callNext]. */
+    private val passed = HashSet<WaitingRequest>()
     private var lookedAt = MonotonicTime.distantPast
 
     /** When the targets of the service have room. */
@@ -32,42 +47,67 @@
     val size: Int get() = order.size
 
     /**
-     * Waits until it is the turn of [request] to look for a target. Returns false if it waits no longer: its time has
-     * passed, or too many others go before it. After true, [recordPlaced], [leave] or another [await] must follow.
+     * Waits until it is the turn of [request] to look for a target, at most until [until]. After [WaitResult.CALLED],
+     * [recordPlaced], [leave] or another [await] must follow; the last passes its call on if others may use targets that
+     * it may not.
      *
      * @param isTargetOpen whether a target takes requests now, so that the first one is called at once
      */
-    suspend fun await(request: WaitingRequest, isTargetOpen: Boolean): Boolean {
-        val call = CompletableDeferred<Boolean>()
+    suspend fun await(
+        request: WaitingRequest,
+        isTargetOpen: Boolean,
+        until: MonotonicTime = request.until,
+    ): WaitResult {
+        val call = CompletableDeferred<WaitResult>()
+        val hasLooked = request in order
         calls[request] = call
-        order.add(request)?.let { calls.remove(it)?.complete(false) }
-        if (isTargetOpen) callNext()
-        var mayLook = false
+        order.add(request)?.let { calls.remove(it)?.complete(WaitResult.EVICTED) }
+        when {
+            isTargetOpen -> callNext()
+            hasLooked && request.isRestricted -> passOn(request)
+        }
+        var result = WaitResult.TIME_OVER
         try {
             while (true) {
-                val remaining = request.until.millisecondsSince(clock.now()).coerceAtMost(LOOK_MILLISECONDS)
-                val answer = if (remaining > 0) withTimeoutOrNull(remaining) { call.await() } else false
-                if (answer != null) return answer.also { mayLook = it }
+                val remaining = until.millisecondsSince(clock.now()).coerceAtMost(LOOK_MILLISECONDS)
+                if (remaining > 0) withTimeoutOrNull(remaining) { call.await() }
+                if (call.isCompleted) result = call.await()
+                if (call.isCompleted || remaining <= 0) return result
                 look()
             }
         } finally {
-            if (!mayLook) leave(request)
+            if (result != WaitResult.CALLED) leave(request)
         }
     }
 
     /** Records that [request] is sent to a target. */
-    fun recordPlaced(request: WaitingRequest): Unit = order.recordPlaced(request)
+    fun recordPlaced(request: WaitingRequest) {
+        passed -= request
+        order.recordPlaced(request)
+    }
 
     /** Removes [request], which is not sent; the next one may look. */
     fun leave(request: WaitingRequest) {
         calls -= request
+        passed -= request
         order.remove(request)
     }
 
     /** Calls the first request in the order, since a target may have a place for it, unless it is looking already. */
     fun callNext() {
         lookedAt = clock.now()
-        order.next()?.let { calls.remove(it) }?.complete(true)
+        passed.clear()
+        call(order.next())
+    }
+
+    /** Calls the next request after [request], which found no target. */
+    private fun passOn(request: WaitingRequest) {
+        passed += request
+        call(order.next(passed))
+    }
+
+    private fun call(request: WaitingRequest?) {
+        calls.remove(request)?.complete(WaitResult.CALLED)
     }
 
     private fun look() {
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/serve/WaitingRoomTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/serve/WaitingRoomTest.kt
@@ -21,6 +21,7 @@
 class WaitingRoomTest {
     private val placed = ArrayList<String>()
     private val ended = ArrayList<String>()
+    private val late = ArrayList<String>()
 
     @Test
     fun `given a full queue when requests end at targets then each end calls the next request`() = runTest {
@@ -48,7 +49,7 @@
         val room = room()
         val isCalled = async {
             val request = request("a", 0, until = 150)
-            while (room.await(request, isTargetOpen = false)) Unit
+            while (room.await(request, isTargetOpen = false) == WaitResult.CALLED) Unit
             currentTime
         }
         assertEquals(150, isCalled.await())
@@ -76,7 +77,7 @@
         requests.forEach { it.cancelAndJoin() }
         assertEquals(0, currentTime)
         assertEquals(0, room.size)
-        assertTrue(placed.isEmpty() && ended.isEmpty())
+        assertTrue(placed.isEmpty() && ended.isEmpty() && late.isEmpty())
     }
 
     // Guards against a place that is lost with the caller to whose request it was given.
@@ -101,6 +102,24 @@
         assertEquals(1, room.size)
     }
 
+    // Guards against a request whose remaining targets are closed and that keeps the turn of all others.
+    @Test
+    fun `given a first request that may use no open target when a place comes then the next one gets it`() = runTest {
+        for ((isRestricted, expected) in listOf(true to listOf("b"), false to emptyList())) {
+            placed.clear()
+            val room = room()
+            val first = WaitingRequest(0, null, MonotonicTime(10_000), MonotonicTime(0), isRestricted = isRestricted)
+            val stuck = launch { while (room.await(first, isTargetOpen = false) == WaitResult.CALLED) Unit }
+            runCurrent()
+            val second = enter(room, "b", rank = 1)
+            room.callNext()
+            runCurrent()
+            assertEquals(expected, placed, "$isRestricted")
+            stuck.cancelAndJoin()
+            second.cancelAndJoin()
+        }
+    }
+
     private fun TestScope.room(capacity: Int = 64) = WaitingRoom({ MonotonicTime(currentTime) }, capacity)
 
     private fun TestScope.enter(
@@ -111,11 +130,10 @@
     ): Job {
         val job = launch {
             val request = request(name, rank, until = 150)
-            if (room.await(request, isTargetOpen)) {
-                room.recordPlaced(request)
-                placed += name
-            } else {
-                ended += name
+            when (room.await(request, isTargetOpen)) {
+                WaitResult.CALLED -> placed += name.also { room.recordPlaced(request) }
+                WaitResult.EVICTED -> ended += name
+                WaitResult.TIME_OVER -> late += name
             }
         }
         runCurrent()
