Wrap long lines of the admission part

Change: lines wrapped; no behaviour changed. In AdmissionPolicyTest the end of a wait is compared after the kind of the decision is named, with the same values. Others' files are left as they are.

--- a/core/src/main/kotlin/org/heatherwind/core/admission/AdmissionPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/admission/AdmissionPolicy.kt
@@ -59,8 +59,8 @@
     }
 
     /**
-     * Returns until when [work] may wait; the rest of the objective is left to the target or to another router. The wait
-     * counts from [resumedAt] if a part of the answer was forwarded, since callers leave after a gap.
+     * Returns until when [work] may wait; the rest of the objective is left to the target or to another router. The
+     * wait counts from [resumedAt] if a part of the answer was forwarded, since callers leave after a gap.
      */
     public fun waitEnd(work: WorkRequest, resumedAt: MonotonicTime? = null): MonotonicTime = minOf(
         (resumedAt ?: work.receivedAt).plusMilliseconds(work.route.latencyObjectiveMilliseconds / WAIT_DIVISOR),
--- a/core/src/main/kotlin/org/heatherwind/core/admission/RecentRefusals.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/admission/RecentRefusals.kt
@@ -5,8 +5,8 @@
 import org.heatherwind.core.work.WorkRequest
 
 /**
- * The generations that were refused lately, by customer and last prompt part. A repetition by the caller has another ID.
- * Confined to one thread.
+ * The generations that were refused lately, by customer and last prompt part. A repetition by the caller has another
+ * ID. Confined to one thread.
  */
 public class RecentRefusals {
     private val refusedAt = object : LinkedHashMap<Key, MonotonicTime>() {
--- a/core/src/test/kotlin/org/heatherwind/core/admission/AdmissionPolicyTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/admission/AdmissionPolicyTest.kt
@@ -73,13 +73,13 @@
                 overloadedUntil = case.overloadedUntil?.let { MonotonicTime(it) },
                 resumedAt = case.resumedAt?.let { MonotonicTime(it) },
             )
-            val actual = when (val decision = AdmissionPolicy.decide(case.work, prospect, MonotonicTime(case.now))) {
+            val decision = AdmissionPolicy.decide(case.work, prospect, MonotonicTime(case.now))
+            val actual = when (decision) {
                 AdmissionDecision.Send -> Expected.SENT
-
-                is AdmissionDecision.Wait -> Expected.WAITS.also { assertEquals(MonotonicTime(case.until), decision.until) }
-
+                is AdmissionDecision.Wait -> Expected.WAITS
                 is AdmissionDecision.Refuse -> Expected.REFUSED
             }
+            if (decision is AdmissionDecision.Wait) assertEquals(MonotonicTime(case.until), decision.until)
             assertEquals(case.expected, actual)
         }
     }
@@ -130,7 +130,8 @@
         fun retryAfter(work: WorkRequest, room: Long, opensAt: Long? = null): Long =
             RetryAfterPolicy.milliseconds(work, room, opensAt?.let { MonotonicTime(it) }, MonotonicTime(0))
 
-        fun plain(id: String = "p") = work(id, route(isStream = false), deadline = 1_000, customer = null, tokens = null)
+        fun plain(id: String = "p") =
+            work(id, route(isStream = false), deadline = 1_000, customer = null, tokens = null)
 
         fun stream(
             id: String = "s",
--- a/core/src/test/kotlin/org/heatherwind/core/admission/WaitingOrderTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/admission/WaitingOrderTest.kt
@@ -30,7 +30,7 @@
         ),
         Case(
             "the earlier end of patience first",
-            listOf(named("b", until = 90), named("a", until = 80, customer = "2"), named("c", until = 95, customer = "3")),
+            listOf(named("b", until = 90), named("a", 1, "2", until = 80), named("c", 1, "3", until = 95)),
             "abc",
         ),
         Case(
@@ -118,8 +118,7 @@
         assertEquals(2, order.size)
     }
 
-    private fun place(order: WaitingOrder): WaitingRequest =
-        checkNotNull(order.next()).also { order.recordPlaced(it) }
+    private fun place(order: WaitingOrder): WaitingRequest = checkNotNull(order.next()).also { order.recordPlaced(it) }
 
     private companion object {
         fun named(
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/AdmissionGate.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/AdmissionGate.kt
@@ -26,7 +26,8 @@
     private var resumedAt: MonotonicTime? = null
 
     /**
-     * Returns the target that [choose] finds, after a wait if there is none at present, or null if the request is refused.
+     * Returns the target that [choose] finds, after a wait if there is none at present, or null if the request is
+     * refused.
      *
      * @param tried targets to which the request was sent before
      */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/WaitingRoom.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/WaitingRoom.kt
@@ -48,8 +48,8 @@
 
     /**
      * Waits until it is the turn of [request] to look for a target, at most until [until]. After [WaitResult.CALLED],
-     * [recordPlaced], [leave] or another [await] must follow; the last passes its call on if others may use targets that
-     * it may not.
+     * [recordPlaced], [leave] or another [await] must follow; the last passes its call on if others may use targets
+     * that it may not.
      *
      * @param isTargetOpen whether a target takes requests now, so that the first one is called at once
      */
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/serve/WaitingRoomTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/serve/WaitingRoomTest.kt
@@ -122,12 +122,7 @@
 
     private fun TestScope.room(capacity: Int = 64) = WaitingRoom({ MonotonicTime(currentTime) }, capacity)
 
-    private fun TestScope.enter(
-        room: WaitingRoom,
-        name: String,
-        rank: Int = 0,
-        isTargetOpen: Boolean = false,
-    ): Job {
+    private fun TestScope.enter(room: WaitingRoom, name: String, rank: Int = 0, isTargetOpen: Boolean = false): Job {
         val job = launch {
             val request = request(name, rank, until = 150)
             when (room.await(request, isTargetOpen)) {
