--- a/core/src/test/kotlin/org/heatherwind/core/admission/WaitingOrderTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/admission/WaitingOrderTest.kt
@@ -30,7 +30,7 @@
         ),
         Case(
             "the earlier end of patience first",
-            listOf(named("b", until = 90), named("a", until = 80, customer = "2"), named("c", until = 95, customer = "3")),
+            listOf(named("b", until = 90), named("a", 1, "2", until = 80), named("c", 1, "3", until = 95)),
             "abc",
         ),
         Case(
@@ -44,6 +44,11 @@
                 named("e", customer = "1", wasRefused = true) + named("b", customer = "2"),
             "abcde",
         ),
+        Case(
+            "a customer's turns at one rank do not count at another",
+            List(2) { named("a", rank = 0) } + named("b", rank = 1) + named("c", 1, "small", until = 200),
+            "aabc",
+        ),
         Case("bad ranks", listOf(named("c", Int.MAX_VALUE), named("a", Int.MIN_VALUE), named("b", -1)), "abc"),
     )
 
@@ -113,8 +118,7 @@
         assertEquals(2, order.size)
     }
 
-    private fun place(order: WaitingOrder): WaitingRequest =
-        checkNotNull(order.next()).also { order.recordPlaced(it) }
+    private fun place(order: WaitingOrder): WaitingRequest = checkNotNull(order.next()).also { order.recordPlaced(it) }
 
     private companion object {
         fun named(
