Wait for the removal of a stopping router from the time of the request

Cause: PlannedStopTest, "a request that is read late in the stop", failed once at a load of 20 (no answer instead of 503). By reading: the test moves the clock as soon as the router is not ready; if the task of the stop first ran after that, it read the moved clock, waited for nothing and closed the idle connection on which the request was arriving. Change: the task waits for the time that follows from the request to stop.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -298,11 +298,12 @@
     /** Stops accepting callers, waits for in-flight requests up to the drain deadline, and completes [awaitStopped]. */
     public fun drain() {
         // Set at once, since requests may be admitted before the task that follows runs.
-        val stop = PlannedStop.of(clock.now(), settings.drainMilliseconds)
+        val requestedAt = clock.now()
+        val stop = PlannedStop.of(requestedAt, settings.drainMilliseconds)
         if (!plannedStop.compareAndSet(null, stop)) return
         scope.launch {
             log.process("Draining.", "open" to listener.busyCount)
-            delay(stop.removedAt.millisecondsSince(clock.now()).coerceAtLeast(0))
+            delay(stop.removedAt.millisecondsSince(requestedAt))
             listener.stopListening()
             while (listener.neededCount(clock.now()) > 0 && clock.now() < stop.endsAt) {
                 listener.closeIdle(clock.now())
