Keep a target's cold state and pace when its entry is replaced

Cause: A target whose entry expired and came back, or whose address changed, got a new TargetLoad within the same life. Its cold statement, the time of the last request sent and a running limit were lost, so it could get twice its ceiling, and a failed-back one was not eased in any more. A closedUntil long past began a pace. Change: TargetHistory carries the pace and the cold statements (with the offset they came from) as such, beside the availability, to the next TargetLoad of that life. A request on its way to the earlier address still counts. Measured: TargetReturnTest (two new cases), TargetPaceTest, ColdStatementsTest, ColdCeilingTest and ManyRoutersPaceTest pass. The new cases were not run on the code before.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -13,18 +13,22 @@
  * @property drawReluctance draws a number from 0 to 1 for one choice, so that routers that see targets alike don't all
  *   choose the same one, and a router goes on trying each of them
  * @param paceSharing what the paces of the service's targets share
+ * @param history what is known of the target's present life from an earlier entry, or null
  */
 public class TargetLoad(
     public var entry: TargetEntry,
     paceSharing: PaceSharing = PaceSharing(),
     public val drawReluctance: () -> Double = { 0.0 },
+    history: TargetHistory? = null,
 ) {
     private val awaitingFirstEvent = LinkedHashSet<InFlightRequest>()
     private val prefixCache = PrefixCacheEstimate(PREFIX_CACHE_CAPACITY_TOKENS)
     private val latencyRatioEstimate = LatencyRatioEstimate(LATENCY_RATIO_WEIGHT)
 
     /** Limits what the target gets while it has just started or recovered. */
-    public val pace: TargetPace = TargetPace(entry.id, { slots }, paceSharing)
+    public val pace: TargetPace = 
+        history?.pace?.takeIf { history.entry.service == entry.service }
+            ?: TargetPace(entry.id, { entry.slots }, paceSharing)
 
     /** How fast the target works at present, from its own reports. */
     public val speed: TargetSpeed = TargetSpeed()
@@ -32,11 +36,10 @@
     /** How fast the target works in general, as learned from its answers. */
     public val learnedSlowness: LearnedSlowness = LearnedSlowness()
 
-    /** Until when the target is cold, as it or the list of targets has stated last. */
-    public var coldUntil: MonotonicTime = MonotonicTime.distantPast
+    private val coldStatements = history?.coldStatements ?: ColdStatements()
 
-    /** Offset of the newest entry from which [coldUntil] was taken. */
-    private var coldOffset = -1L
+    /** Until when the target is cold, as it or the list of targets has stated last. */
+    public var coldUntil: MonotonicTime by coldStatements::until
 
     /** In-flight requests of this router on the target. */
     public var inFlightRequests: Int = 0
@@ -70,12 +73,19 @@
         private set
 
     /** What the target has stated in its answers about further requests. */
-    public var availability: TargetAvailability = TargetAvailability()
+    public var availability: TargetAvailability = history?.availability ?: TargetAvailability()
         set(value) {
             if (value.closedUntil > field.closedUntil) pace.begin(PaceCause.PAUSE_ENDED, value.closedUntil)
             field = value
         }
 
+    /** Returns what stays known of the target when its entry is gone or replaced, without this view of its load. */
+    public fun toHistory(): TargetHistory {
+        val lastSlots = slots
+        pace.useSlots { lastSlots }
+        return TargetHistory(entry, availability, pace, coldStatements)
+    }
+
     /** Whether another target responded at the address. Stays true until the list of targets contains the new one. */
     public var isReplaced: Boolean = false
         private set
@@ -91,16 +101,12 @@
      * Records at [now] that the target stays cold for [milliseconds], as its entry at [offset] of the list of targets
      * states. An entry that is read again, or after a newer one, changes nothing.
      */
-    public fun recordListedCold(milliseconds: Long, offset: Long, now: MonotonicTime) {
-        if (offset <= coldOffset) return
-        coldOffset = offset
-        recordStatedCold(milliseconds, now)
-    }
+    public fun recordListedCold(milliseconds: Long, offset: Long, now: MonotonicTime): Unit =
+        coldStatements.recordListed(milliseconds, offset, now)
 
     /** Records that the target has stated in an answer, received at [now], to stay cold for [milliseconds]. */
-    public fun recordStatedCold(milliseconds: Long, now: MonotonicTime) {
-        coldUntil = if (milliseconds > 0) now.plusMilliseconds(milliseconds) else MonotonicTime.distantPast
-    }
+    public fun recordStatedCold(milliseconds: Long, now: MonotonicTime): Unit =
+        coldStatements.record(milliseconds, now)
 
     /** Returns the cached prefix tokens of a prompt, as estimated from the prompts known to have been sent here. */
     public fun cachedTokens(tokens: TokenDemand): Long = prefixCache.cachedTokens(tokens.parts)
@@ -283,6 +289,10 @@
         return if (age > REPORT_LIFETIME_MILLISECONDS) 0.0 else 1 - age.toDouble() / REPORT_LIFETIME_MILLISECONDS
     }
 
+    init {
+        pace.useSlots { slots }
+    }
+
     private companion object {
         /** Short, so that a single failure diverts few requests and a recovery is detected soon. */
         const val INITIAL_SUSPICION_MILLISECONDS = 400L
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
@@ -17,7 +17,7 @@
  */
 public class TargetPace(
     private val target: TargetId,
-    private val slots: () -> Int,
+    private var slots: () -> Int,
     private val sharing: PaceSharing,
 ) {
     private var cause: PaceCause? = null
@@ -33,6 +33,11 @@
     /** Whether the target's pace is limited at present. */
     public val isLimited: Boolean get() = cause != null
 
+    /** Takes the target's slots from [slots] from now on, as the target has another entry. */
+    internal fun useSlots(slots: () -> Int) {
+        this.slots = slots
+    }
+
     /** Begins to find the pace for [cause]. No requests are sent before [startsAt]. */
     public fun begin(cause: PaceCause, startsAt: MonotonicTime) {
         this.cause = cause
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -8,9 +8,9 @@
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.placement.PaceCause
 import org.heatherwind.core.placement.PaceSharing
+import org.heatherwind.core.placement.TargetHistory
 import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.target.Evacuations
-import org.heatherwind.core.target.TargetAvailability
 import org.heatherwind.core.target.TargetDirectory
 import org.heatherwind.core.target.TargetEntry
 import kotlin.random.Random
@@ -23,9 +23,9 @@
 internal class FleetState(private val paceSharingOf: (ServiceId) -> PaceSharing = { PaceSharing() }) {
     private val loads = HashMap<TargetId, TargetLoad>()
 
-    /** What removed targets have stated, as far as they want no requests; the last ones only. */
-    private val removed = object : LinkedHashMap<TargetId, RemovedTarget>() {
-        override fun removeEldestEntry(eldest: Map.Entry<TargetId, RemovedTarget>): Boolean = size > MAXIMUM_REMOVED
+    /** What is known of removed targets, which may come back; of the last ones only. */
+    private val removed = object : LinkedHashMap<TargetId, TargetHistory>() {
+        override fun removeEldestEntry(eldest: Map.Entry<TargetId, TargetHistory>): Boolean = size > MAXIMUM_REMOVED
     }
     private val registered = HashMap<ServiceId, List<TargetLoad>>()
     private val candidates = HashMap<ServiceId, List<TargetLoad>>()
@@ -68,15 +68,15 @@
         directory = updated
         registered.clear()
         candidates.clear()
-        loads.values.filter { it.entry.id !in updated.entries && it.availability != TargetAvailability() }
-            .forEach { removed[it.entry.id] = RemovedTarget(it.entry, it.availability) }
+        loads.values.filter { it.entry.id !in updated.entries }
+            .forEach { removed[it.entry.id] = it.toHistory() }
         loads.keys.retainAll(updated.entries.keys)
         updated.entries.forEach { (id, entry) ->
             val existing = loads[id]
             if (existing == null || !existing.entry.isSameProcessAs(entry)) {
-                loads[id] = TargetLoad(entry, paceSharingOf(entry.service), Random.Default::nextDouble).apply {
+                val history = historyOf(entry, existing)
+                loads[id] = TargetLoad(entry, paceSharingOf(entry.service), Random.Default::nextDouble, history).apply {
                     causeOfReturn(entry, existing)?.let { pace.begin(it, now) }
-                    availability = lastAvailabilityOf(entry, existing)
                 }
             } else {
                 existing.entry = entry
@@ -84,11 +84,9 @@
         }
     }
 
-    /** Returns what the process of [entry] has stated in its answers, although its entry was removed or has changed. */
-    private fun lastAvailabilityOf(entry: TargetEntry, existing: TargetLoad?): TargetAvailability {
-        val earlier = existing?.let { RemovedTarget(it.entry, it.availability) } ?: removed.remove(entry.id)
-        return earlier?.takeIf { it.entry.isSameLifeAs(entry) }?.availability ?: TargetAvailability()
-    }
+    /** Returns what is known of the process of [entry], although its entry was removed or has changed. */
+    private fun historyOf(entry: TargetEntry, existing: TargetLoad?): TargetHistory? =
+        (existing?.toHistory() ?: removed.remove(entry.id))?.takeIf { it.entry.isSameLifeAs(entry) }
 
     /** Returns why the pace of [entry] is to be found, or null if it is one of all targets that are unknown. */
     private fun causeOfReturn(entry: TargetEntry, existing: TargetLoad?): PaceCause? = when {
@@ -135,8 +133,6 @@
     fun evacuatedServices(): List<ServiceId> =
         directory.entries.values.mapTo(LinkedHashSet()) { it.service }.filter { isEvacuated(it) }
 
-    private class RemovedTarget(val entry: TargetEntry, val availability: TargetAvailability)
-
     private companion object {
         /** Several times the targets that leave within the time in which an entry may reappear. */
         const val MAXIMUM_REMOVED = 1_000
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/TargetReturnTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/TargetReturnTest.kt
@@ -1,17 +1,23 @@
 package org.heatherwind.gateway.state
 
 import org.heatherwind.core.identity.DataCentreId
+import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.identity.TargetId
+import org.heatherwind.core.placement.ColdCeiling
 import org.heatherwind.core.placement.PaceCause
 import org.heatherwind.core.placement.PaceChange
 import org.heatherwind.core.placement.PaceSharing
+import org.heatherwind.core.target.Evacuations
 import org.heatherwind.core.target.TargetDirectory
 import org.heatherwind.core.target.TargetEntry
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotSame
+import kotlin.test.assertTrue
 
 /** Given a list of targets that was read, when it changes, then the pace is found of those that return, and only those. */
 class TargetReturnTest {
@@ -42,6 +48,43 @@
         }
     }
 
+    private val replacements = listOf<Pair<String, FleetState.() -> Unit>>(
+        "its address changes" to { adoptDirectory(directory.with(entryOf("a", born = 1).copy(port = 2)), NOW) },
+        "its entry expires and comes back" to {
+            adoptDirectory(TargetDirectory(), NOW)
+            adoptDirectory(TargetDirectory().with(entryOf("a", born = 1)), NOW)
+        },
+    )
+
+    // Guards against a cold target that gets twice its ceiling, and one failed back that is flooded.
+    @TestFactory
+    fun `what is known of one life of a target holds when its entry is replaced`() = replacements.map { (name, replace) ->
+        DynamicTest.dynamicTest(name) {
+            val self = InstanceId("self")
+            val state = FleetState { PaceSharing(self, { setOf(self) }, { ColdCeiling(1.0, 1.5, 5.0) }) }
+            state.adoptDirectory(TargetDirectory().with(entryOf("a", born = 1)), NOW)
+            state.isDirectoryRead = true
+            val evacuated = Evacuations().with(DataCentreId("a"), offset = 1)
+            state.adoptEvacuations(evacuated, NOW)
+            state.adoptEvacuations(Evacuations(), NOW)
+            val before = checkNotNull(state.loadOf(TargetId("a")))
+            before.recordListedCold(0, offset = 6, NOW)
+            before.recordListedCold(9_000, offset = 7, NOW)
+            assertTrue(before.isOpen(NOW))
+            before.pace.recordSent(NOW)
+
+            state.replace()
+
+            val after = checkNotNull(state.loadOf(TargetId("a")))
+            assertNotSame(before, after)
+            after.recordListedCold(0, offset = 6, NOW)
+            assertEquals(NOW.plusMilliseconds(9_000), after.coldUntil)
+            assertFalse(after.isOpen(NOW.plusMilliseconds(900)), "it got a request less than a second ago")
+            assertTrue(after.isOpen(NOW.plusMilliseconds(1_100)))
+            assertTrue(after.pace.isLimited, "it was failed back just now")
+        }
+    }
+
     private companion object {
         val NOW = MonotonicTime(1_000)
 
