Close the gaps of paces, cold ceilings and the choice among targets

Cause: Read in review. An average ratio from 2 to 3 neither opened nor ended a pace. Several requests chose a cold target before the first was sent; the others were turned away after they connected, and used up a target and a retry. A pace ended while the target was cold. Each failed request began a pace anew, also over a common one, and so did each turn between cold and warm. Held-back targets stayed out while all others were full. The reluctance and the crossing cost outweighed short shared parts (198 of 826 tokens). Any stated number of slots was believed. Slowness was learned from targets that are cold or have just returned. Routers of a quiet service took all turns at once. Change: Answers between usual and slow open the window by half of one. A request claims the share of a cold target from its choice until it is sent; the pace goes on while the target is cold. A suspicion neither replaces a running pace nor begins a second one; statements within a second of each other begin none. If all others are full, held-back targets are eligible. Reluctance and crossing count for at most half of the re-read cost where the shared parts are cached. Stated slots beyond four times, or below a quarter of, the entry's are ignored. A router that has sent nothing for 10 s, or for less than 1 s in all, takes its demand for one request at once.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/PaceSharing.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PaceSharing.kt
@@ -32,6 +32,9 @@
 ) {
     private val sendRate = DecayingRate(MonotonicTime.distantPast, SEND_RATE_HALF_LIFE_MILLISECONDS)
 
+    private var sendingSince: MonotonicTime? = null
+    private var lastSentAt = MonotonicTime.distantPast
+
     /** Mean time to the first event of the service's targets, in milliseconds. */
     public var roundTripMilliseconds: Double = INITIAL_ROUND_TRIP_MILLISECONDS
         private set
@@ -51,11 +54,23 @@
     }
 
     /** Records that a request was sent to one of the targets at [now]. */
-    internal fun recordSent(now: MonotonicTime): Unit = sendRate.add(1.0, now)
+    internal fun recordSent(now: MonotonicTime) {
+        if (isQuiet(now)) sendingSince = now
+        lastSentAt = now
+        sendRate.add(1.0, now)
+    }
+
+    /**
+     * Returns the requests, at most one, that this router has waiting for an answer at a time if one target gets all.
+     * As long as that isn't known, it is one: the routers of a service that was quiet may all get work at once.
+     */
+    internal fun requestsAtOnce(now: MonotonicTime): Double {
+        val since = sendingSince?.takeUnless { isQuiet(now) } ?: return 1.0
+        if (now.millisecondsSince(since) < KNOWN_RATE_MILLISECONDS) return 1.0
+        return (sendRate.perSecond(now) * roundTripMilliseconds / MILLISECONDS_PER_SECOND).coerceAtMost(1.0)
+    }
 
-    /** Returns the requests, at most one, that this router has waiting for an answer at a time if one target gets all. */
-    internal fun requestsAtOnce(now: MonotonicTime): Double =
-        (sendRate.perSecond(now) * roundTripMilliseconds / MILLISECONDS_PER_SECOND).coerceAtMost(1.0)
+    private fun isQuiet(now: MonotonicTime): Boolean = now.millisecondsSince(lastSentAt) > QUIET_MILLISECONDS
 
     internal fun recordPassedOver() {
         passedOverCount++
@@ -74,6 +89,12 @@
 
         /** Bursts last for some seconds. */
         const val SEND_RATE_HALF_LIFE_MILLISECONDS = 2_000.0
+
+        /** A router that has sent nothing for longer doesn't know what callers will want next. */
+        const val QUIET_MILLISECONDS = 10_000L
+
+        /** After this time of sending, the rate says something about what is to come. */
+        const val KNOWN_RATE_MILLISECONDS = 1_000L
         const val ROUND_TRIP_WEIGHT = 0.1
 
         /** A router that has had no answer yet assumes that targets answer like a usual one. */
--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -27,7 +27,7 @@
     /**
      * Returns the target with the lowest cost, which is mainly the expected time to the first event, or null if no
      * target can take the request. Suspected targets, and those held back for their pace, are chosen only if there are
-     * no others.
+     * no others, or, for the pace, if the others have all slots in use.
      *
      * @param engine the service's engine, or null for a plain service
      * @param tokens the size of a generation, or null for a plain call
@@ -51,7 +51,8 @@
             it.isOpen(now) && it.entry.id !in excluded && it.inFlightRequests < connectionsPerTarget
         }
         val unsuspected = available.filterNot { it.isSuspected(now) }.ifEmpty { available }
-        val eligible = unsuspected.filterNot { it.isHeldBack(now) }.ifEmpty { unsuspected }
+        val unpaced = unsuspected.filterNot { it.isHeldBack(now) }
+        val eligible = if (unpaced.all { it.isFull(now) }) unsuspected else unpaced
         if (eligible.isEmpty()) return null
         return if (engine != null && tokens != null) {
             chooseForGeneration(eligible, engine, tokens, now, isSharedCacheAssumed, aims)
@@ -86,8 +87,8 @@
             val predicted = load.predictedMilliseconds(expected, now)
             val cost = predicted + repeatedPrefill + cacheOverflow +
                 load.overdueMilliseconds(now) + load.failureScore(now) * MILLISECONDS_PER_RECENT_FAILURE +
-                aims.latenessMilliseconds(predicted, now) + crossingMilliseconds(load, tokens, aims) +
-                load.drawReluctance() * RELUCTANCE_MILLISECONDS
+                aims.latenessMilliseconds(predicted, now) +
+                distinctionMilliseconds(load, tokens, aims).coerceAtMost(maximumDistinctionMilliseconds(shared, cached))
             if (cost < bestCost) {
                 bestCost = cost
                 best = Placement(load, uncached, prefill, expected, predicted)
@@ -96,6 +97,17 @@
         return best
     }
 
+    /** Returns what distinguishes targets that are equally good otherwise. */
+    private fun distinctionMilliseconds(load: TargetLoad, tokens: TokenDemand, aims: PlacementAims): Double =
+        crossingMilliseconds(load, tokens, aims) + load.drawReluctance() * RELUCTANCE_MILLISECONDS
+
+    /**
+     * Returns how much that may count: for a target that has the [shared] tokens [cached] less than to read them again,
+     * or else many routers would read a short shared part at many targets.
+     */
+    private fun maximumDistinctionMilliseconds(shared: Long, cached: Long): Double =
+        if (shared in 1..cached) shared * REPEATED_PREFILL_MILLISECONDS_PER_TOKEN / 2 else Double.MAX_VALUE
+
     private fun crossingMilliseconds(load: TargetLoad, tokens: TokenDemand, aims: PlacementAims): Double =
         if (aims.isElsewhere(load)) {
             ELSEWHERE_MILLISECONDS + tokens.prompt * ELSEWHERE_MILLISECONDS_PER_TOKEN
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -50,7 +50,12 @@
     private var announcedAt = MonotonicTime.distantPast
 
     /** Requests that the target runs at once, as it has stated last. */
-    public val slots: Int get() = (reportedSlots ?: entry.slots).coerceAtLeast(1)
+    public val slots: Int get() = (reportedSlots?.takeIf { isCredible(it) } ?: entry.slots).coerceAtLeast(1)
+
+    private fun isCredible(slots: Int): Boolean {
+        val listed = entry.slots.coerceAtLeast(1)
+        return slots <= listed * CREDIBLE_SLOTS_FACTOR && listed <= slots * CREDIBLE_SLOTS_FACTOR
+    }
 
     /** Tokens that this router's in-flight requests may occupy in the target's cache. */
     public var occupiedTokens: Long = 0
@@ -91,12 +96,18 @@
         private set
 
     /** Returns whether the target may get another request of this router at [now], suspicions aside. */
-    public fun isOpen(now: MonotonicTime): Boolean = !isReplaced && availability.isOpen(now) &&
+    public fun isOpen(now: MonotonicTime): Boolean = mayBeSent(now) && !pace.isClaimed
+
+    /** Returns whether a request for which the target was chosen may be sent to it at [now]. */
+    public fun mayBeSent(now: MonotonicTime): Boolean = !isReplaced && availability.isOpen(now) &&
         pace.isWithinCeiling(coldUntil, now)
 
     /** Returns whether the target should get no requests at [now] for its pace, while another one is available. */
     public fun isHeldBack(now: MonotonicTime): Boolean = !pace.isOpen(inFlightRequests, now)
 
+    /** Returns whether the requests that are known to be at the target at [now] take all of its slots. */
+    public fun isFull(now: MonotonicTime): Boolean = inFlightRequests + externalRequests(now) >= slots
+
     /**
      * Records at [now] that the target stays cold for [milliseconds], as its entry at [offset] of the list of targets
      * states. An entry that is read again, or after a newer one, changes nothing.
@@ -177,11 +188,15 @@
             // counts once.
             val usual = request.expectedMilliseconds * (request.slowdown + speed.slowdown(now)) / 2
             latencyRatioEstimate.observe(usual * request.slowness, actual, now)
-            learnedSlowness.observe(usual, actual, now)
+            if (isAtUsualSpeed(request, now)) learnedSlowness.observe(usual, actual, now)
             pace.recordAnswer(request, actual, now, usual * request.slowness)
         }
     }
 
+    /** Whether the answer to [request] says how fast the target is, which is neither cold nor has just returned. */
+    private fun isAtUsualSpeed(request: InFlightRequest, now: MonotonicTime): Boolean =
+        !pace.isLimited && now >= coldUntil && request.sentAt >= coldUntil
+
     /** Records that [request] ended, with or without success. */
     public fun recordEnded(request: InFlightRequest) {
         recordFirstEvent(request, now = null)
@@ -267,6 +282,7 @@
         lastFailureScoreAt = now
         val doublings = (consecutiveFailures - 1).coerceAtMost(MAXIMUM_SUSPICION_DOUBLINGS)
         suspectedUntil = now.plusMilliseconds(INITIAL_SUSPICION_MILLISECONDS shl doublings)
+        pace.recordFailure(now)
         pace.begin(PaceCause.SUSPICION_ENDED, suspectedUntil)
     }
 
@@ -298,6 +314,9 @@
         const val INITIAL_SUSPICION_MILLISECONDS = 400L
         const val MAXIMUM_SUSPICION_DOUBLINGS = 3
 
+        /** Targets change their slots somewhat; what states many times more or less than its entry is wrong. */
+        const val CREDIBLE_SLOTS_FACTOR = 4L
+
         /** A slot usually becomes free within some tens of milliseconds. */
         const val OVERLOAD_PAUSE_MILLISECONDS = 60L
 
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
@@ -26,7 +26,9 @@
     private var hasAnswered = false
     private var ratioEstimate = LatencyRatioEstimate(RATIO_WEIGHT)
     private var isCold = false
+    private var coldChangedAt = MonotonicTime.distantPast
     private var lastSentAt = MonotonicTime.distantPast
+    private var claims = 0
     private var place: PacePlace? = null
     private var placeAmong: Set<InstanceId>? = null
 
@@ -38,8 +40,19 @@
         this.slots = slots
     }
 
-    /** Begins to find the pace for [cause]. No requests are sent before [startsAt]. */
+    /** Whether the target is cold, and a request that is about to be sent has claimed this router's share of it. */
+    internal val isClaimed: Boolean get() = isCold && claims > 0
+
+    /**
+     * Begins to find the pace for [cause]. No requests are sent before [startsAt]. What this router alone suspects
+     * neither replaces a pace that all routers find nor begins one anew for each request that fails.
+     */
     public fun begin(cause: PaceCause, startsAt: MonotonicTime) {
+        val running = this.cause
+        if (running != null && !cause.isCommon) {
+            if (running == cause) this.startsAt = maxOf(this.startsAt, startsAt)
+            return
+        }
         this.cause = cause
         this.startsAt = startsAt
         val share = firstSenders.toDouble() / (currentPlace()?.routers ?: 1)
@@ -64,11 +77,7 @@
      */
     public fun isWithinCeiling(coldUntil: MonotonicTime, now: MonotonicTime): Boolean {
         val isColdNow = now < coldUntil
-        if (isColdNow != isCold) {
-            isCold = isColdNow
-            // A router that has had answers while the target was cold knows its pace.
-            if (isColdNow) begin(PaceCause.COLD, now) else if (!hasAnswered) begin(PaceCause.COLD_ENDED, now)
-        }
+        if (isColdNow != isCold) recordCold(isColdNow, now)
         if (!isColdNow) return true
         val ceiling = sharing.ceiling ?: return true
         if (!sharing.isKnownToOthers()) return false
@@ -76,6 +85,25 @@
         return now.millisecondsSince(lastSentAt) >= interval
     }
 
+    private fun recordCold(isColdNow: Boolean, now: MonotonicTime) {
+        isCold = isColdNow
+        // A target that states one thing and at once the other doesn't begin its pace anew each time.
+        if (cause != null && now.millisecondsSince(coldChangedAt) < COLD_CHANGE_MILLISECONDS) return
+        coldChangedAt = now
+        // A router that has had answers while the target was cold knows its pace.
+        if (isColdNow) begin(PaceCause.COLD, now) else if (!hasAnswered) begin(PaceCause.COLD_ENDED, now)
+    }
+
+    /** Claims this router's share of the target, should it be cold, for a request that is about to be sent. */
+    public fun claim() {
+        claims++
+    }
+
+    /** Gives back what [claim] has claimed, as the request was sent or isn't going to be. */
+    public fun giveBack() {
+        claims--
+    }
+
     /** Records that a request was sent to the target at [now]. */
     public fun recordSent(now: MonotonicTime) {
         sharing.recordSent(now)
@@ -99,9 +127,10 @@
         val ratio = ratioEstimate.ratioAt(now)
         when {
             ratio <= USUAL_RATIO -> window += WINDOW_PER_ANSWER
-            ratio > SLOW_RATIO -> window = (window / 2).coerceAtLeast(SMALLEST_WINDOW)
+            ratio <= SLOW_RATIO -> window += WINDOW_PER_LATE_ANSWER
+            else -> window = (window / 2).coerceAtLeast(SMALLEST_WINDOW)
         }
-        if (window > usefulWindow() && areTurnsOver(now)) end(now)
+        if (!isCold && window > usefulWindow() && areTurnsOver(now)) end(now)
     }
 
     /** Records a whole answer at [now], which ends a suspicion early. */
@@ -164,6 +193,12 @@
         /** Room for the request that was answered, which may go on for long, and for one more. */
         const val WINDOW_PER_ANSWER = 2.0
 
+        /** Neither in time nor slow may be how the target is from now on, so that it has to end some time. */
+        const val WINDOW_PER_LATE_ANSWER = 0.5
+
+        /** Statements closer to each other than this contradict each other: warming up takes longer. */
+        const val COLD_CHANGE_MILLISECONDS = 1_000L
+
         /** Predictions are often wrong by up to this factor. */
         const val USUAL_RATIO = 2.0
 
--- a/core/src/test/kotlin/org/heatherwind/core/placement/TargetSpeedTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/TargetSpeedTest.kt
@@ -45,6 +45,17 @@
         }
     }
 
+    @TestFactory
+    fun `slots far from the entry's are ignored`(): List<DynamicTest> =
+        listOf(null to 16, 4 to 4, 64 to 64, 3 to 16, 65 to 16, 99_999 to 16, 0 to 16, -5 to 16, Int.MAX_VALUE to 16)
+            .map { (stated, used) ->
+                DynamicTest.dynamicTest("$stated slots") {
+                    val load = ToyTarget.loads(1, slots = 16).single()
+                    load.recordLoadReport(running = 1, waiting = 0, now = MonotonicTime(0), slots = stated)
+                    assertEquals(used, load.slots)
+                }
+            }
+
     // Guards against a target being held twice as slow as it is, once by its word and once by its answers.
     @Test
     fun `a slowdown that was stated is not learned from the answers too`() {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -52,6 +52,9 @@
     )
     private var isFirstEventRecorded = false
 
+    /** Whether this attempt has claimed a share of the target's pace, from its choice until the request is sent. */
+    private var isClaiming = true.also { target.pace.claim() }
+
     /** When the response is overdue. Only valid parts of the answer extend it, other bytes do not. */
     private var progressDeadline = clock.now()
     private var isOverdueRecorded = false
@@ -93,8 +96,8 @@
         val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
         connection = client.connect(target, isRepeatable, excluded = progress.connections)
         if (connection != null) {
-            val isOpen = target.isOpen(clock.now())
-            return@ending if (isOpen) null else AttemptResult.NotSent("the target may get no request now")
+            val mayBeSent = target.mayBeSent(clock.now())
+            return@ending if (mayBeSent) null else AttemptResult.NotSent("the target may get no request now")
         }
         target.recordConnectionFailure(clock.now())
         client.closeIdle(target)
@@ -114,6 +117,7 @@
         val connection = checkNotNull(connection)
         progress.recordSent()
         target.pace.recordSent(clock.now())
+        giveBack()
         progress.connections += connection
         connection.send(request.head.method(), request.head.uri(), headers, request.body)
         extendProgress(hasStarted = false)
@@ -171,11 +175,17 @@
         if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) progress.recordNotRun()
         if (result == null) observation?.abandon() else observation?.end(result)
         target.recordEnded(inFlight)
+        giveBack()
         if (result is AttemptResult.Failed) progress.keepFailure(result, memory) else memory.release()
         val isComplete = result != null && result !is AttemptResult.Incomplete
         connection?.let { client.release(target, it, isComplete) }
     }
 
+    private fun giveBack() {
+        if (isClaiming) target.pace.giveBack()
+        isClaiming = false
+    }
+
     /** Runs [act] and ends the attempt if that returns a result or fails. */
     private inline fun <T> ending(act: () -> T): T {
         var isSuccessful = false
