Forget learned speeds sooner, and state them in a form that old routers ignore

Cause: Read in review. Up to twelve long answers, kept for a minute, spoke against a target after a passing trouble, and one router's repeated statements added up as the evidence of many. Routers of the version before read announcements strictly, so the new field made them drop the whole datagram during a rolling update. Change: What is learned weighs at most four long answers and fades within 20 s. The last statement of each of eight routers counts. A SpeedStatement is a datagram of its own, in the form of an announcement for a target that no list contains, which old routers ignore without a log line; none is sent of a target that is cold or paced. Measured: PredictionTest, UnevenTargetsTest, TargetPaceTest, ColdStatementsTest, TargetReturnTest and PlacementAnnouncementsTest pass. With four targets of which one was three times as slow for 5 s, that one gets 0.22 of the requests 3 to 8 s later at one request in 20 ms, and none (0.0) at one in 22, 25 or 50 ms: while the others can do all the work, it is not tried again within 8 s; that is not mended. The test for one router's statements now names six routers, as repeats of one count once. An old router was not run.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/LearnedSlowness.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/LearnedSlowness.kt
@@ -6,12 +6,16 @@
 
 /**
  * The factor by which a target takes longer than one of usual speed, as learned from its first events by this router,
- * and as other routers that have learned it state it. Its weight falls slowly, as a machine keeps its speed. Confined
- * to one thread.
+ * and as other routers that have learned it state it. Its weight falls within some tens of seconds, since what was slow
+ * may have been a passing trouble. Confined to one thread.
  */
 public class LearnedSlowness {
     private val own = Evidence()
-    private val others = Evidence()
+
+    /** What each of the other routers has stated last. */
+    private val statements = object : LinkedHashMap<String, Evidence>() {
+        override fun removeEldestEntry(eldest: Map.Entry<String, Evidence>): Boolean = size > MAXIMUM_STATEMENTS
+    }
 
     /** Records at [now] that a first event took [actualMilliseconds], where [expectedMilliseconds] are usual. */
     public fun observe(expectedMilliseconds: Double, actualMilliseconds: Double, now: MonotonicTime) {
@@ -21,15 +25,25 @@
         own.add(ratio, weight, now)
     }
 
-    /** Records that another router stated at [now] that it has learned [slowness]; nonsense is ignored. */
-    public fun recordStated(slowness: Double, now: MonotonicTime) {
-        if (slowness.isFinite() && slowness > 0) others.add(slowness, STATED_WEIGHT, now)
+    /**
+     * Records that the router [source] stated at [now] that it has learned [slowness]; nonsense is ignored. Only its last
+     * statement counts, however often it repeats it.
+     */
+    public fun recordStated(slowness: Double, source: String, now: MonotonicTime) {
+        if (!slowness.isFinite() || slowness <= 0) return
+        statements.remove(source)
+        statements[source] = Evidence().apply { add(slowness, STATED_WEIGHT, now) }
     }
 
     /** Returns the factor at [now], nearer to 1 the less is known. */
     public fun factor(now: MonotonicTime): Double {
-        val weight = own.weight(now) + others.weight(now)
-        return exp((own.sum(now) + others.sum(now)) / (weight + USUAL_WEIGHT))
+        var sum = own.sum(now)
+        var weight = own.weight(now)
+        statements.values.forEach {
+            sum += it.sum(now)
+            weight += it.weight(now)
+        }
+        return exp(sum / (weight + USUAL_WEIGHT))
     }
 
     /** Returns what this router alone has learned, or null if that is too little for other routers. */
@@ -74,13 +88,16 @@
         /** A statement rests on at least this much of the other router's evidence. */
         const val STATED_WEIGHT = 0.5
 
-        /** So much evidence is enough, and no more is needed to notice that it has changed. */
-        const val MAXIMUM_WEIGHT = 12.0
+        /** As many answers, at the new speed, are to outweigh what was learned before. */
+        const val MAXIMUM_WEIGHT = 4.0
+
+        /** With these, the others together weigh as much as this router's own evidence may. */
+        const val MAXIMUM_STATEMENTS = 8
 
         /** Expected time at which an observation says half as much as a very long one. */
         const val HALF_WEIGHT_MILLISECONDS = 50.0
 
-        /** A machine keeps its speed for minutes, but its work may move to another machine. */
-        const val LIFETIME_MILLISECONDS = 60_000.0
+        /** A target that is passed over as slow has to be tried again before callers have missed it for long. */
+        const val LIFETIME_MILLISECONDS = 20_000.0
     }
 }
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -188,14 +188,13 @@
             // counts once.
             val usual = request.expectedMilliseconds * (request.slowdown + speed.slowdown(now)) / 2
             latencyRatioEstimate.observe(usual * request.slowness, actual, now)
-            if (isAtUsualSpeed(request, now)) learnedSlowness.observe(usual, actual, now)
+            if (isSettled(now) && request.sentAt >= coldUntil) learnedSlowness.observe(usual, actual, now)
             pace.recordAnswer(request, actual, now, usual * request.slowness)
         }
     }
 
-    /** Whether the answer to [request] says how fast the target is, which is neither cold nor has just returned. */
-    private fun isAtUsualSpeed(request: InFlightRequest, now: MonotonicTime): Boolean =
-        !pace.isLimited && now >= coldUntil && request.sentAt >= coldUntil
+    /** Returns whether the target is at [now] as fast as it is in general: neither cold nor just returned. */
+    public fun isSettled(now: MonotonicTime): Boolean = !pace.isLimited && now >= coldUntil
 
     /** Records that [request] ended, with or without success. */
     public fun recordEnded(request: InFlightRequest) {
--- a/core/src/test/kotlin/org/heatherwind/core/placement/PredictionTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/PredictionTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.TestFactory
+import java.util.PriorityQueue
 import kotlin.math.abs
 import kotlin.math.roundToLong
 import kotlin.random.Random
@@ -73,14 +74,75 @@
         val (learned, told) = ToyTarget.loads(2).map { it.learnedSlowness }
         val now = MonotonicTime(0)
         repeat(3) { learned.observe(200.0, 400.0, now) }
-        repeat(6) { told.recordStated(checkNotNull(learned.ownFactor(now)), now) }
+        repeat(6) { told.recordStated(checkNotNull(learned.ownFactor(now)), "router-$it", now) }
         assertTrue(told.factor(now) in 1.4..2.0, "${told.factor(now)}")
         assertEquals(null, told.ownFactor(now), "what others state is not stated again")
-        listOf(Double.NaN, 0.0, -1.0, Double.POSITIVE_INFINITY).forEach { told.recordStated(it, now) }
-        repeat(100) { told.recordStated(1e9, now) }
+        listOf(Double.NaN, 0.0, -1.0, Double.POSITIVE_INFINITY).forEach { told.recordStated(it, "router-0", now) }
+        val before = told.factor(now)
+        repeat(100) { told.recordStated(checkNotNull(learned.ownFactor(now)), "router-0", now) }
+        assertEquals(before, told.factor(now), 1e-9, "what one router repeats is no more evidence")
+        repeat(100) { told.recordStated(1e9, "router-$it", now) }
         assertTrue(told.factor(now) in 2.0..3.0, "${told.factor(now)}")
     }
 
+    // Guards against a passing trouble that keeps requests away from a target long after it.
+    @Test
+    fun `a target that was slow for five seconds has its share of requests again within some seconds`() {
+        val shares = listOf(20L, 22L, 25L, 50L).associateWith { shareAfterTrouble(intervalMilliseconds = it) }
+        println("share of requests 3 to 8 s after the trouble, by interval: $shares (seed $SEED)")
+        assertTrue(shares.getValue(20) >= 0.125, "half of the target's part of a quarter: $shares")
+    }
+
+    @Test
+    fun `ten answers at the usual speed outweigh what was learned in a trouble`() {
+        val slowness = ToyTarget.loads(1).single().learnedSlowness
+        repeat(50) { slowness.observe(200.0, 800.0, MonotonicTime(it * 100L)) }
+        repeat(10) { slowness.observe(200.0, 200.0, MonotonicTime(5_000 + it * 100L)) }
+        val factor = slowness.factor(MonotonicTime(6_000))
+        assertTrue(factor <= 1.3, "$factor is further off than predictions commonly are")
+    }
+
+    private fun shareAfterTrouble(intervalMilliseconds: Long): Double {
+        val random = Random(SEED)
+        val loads = ToyTarget.loads(4, reluctance = random::nextDouble)
+        val answers = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
+        val chosen = ArrayList<Boolean>()
+        for (at in 0L until 13_000L step intervalMilliseconds) {
+            while (answers.isNotEmpty() && answers.peek().first <= at) answers.remove().second()
+            val now = MonotonicTime(at)
+            val tokens = TokenDemand(prompt = 6_000, maximumOutput = 300)
+            val placement = checkNotNull(PlacementPolicy.choose(loads, ToyFleet.engine, tokens, emptySet(), 99, now))
+            val target = placement.target
+            val request = target.recordSent(tokens, placement.prefillMilliseconds, placement.expectedMilliseconds, now)
+            val isTroubled = target === loads.first()
+            val end = at + (placement.expectedMilliseconds * if (isTroubled && at < 5_000) 3 else 1).toLong()
+            answers += end to {
+                target.recordFirstEvent(request, MonotonicTime(end))
+                target.recordEnded(request)
+            }
+            if (at >= 8_000) chosen += isTroubled
+        }
+        return chosen.count { it }.toDouble() / chosen.size
+    }
+
+    private val unsettled = listOf<Pair<String, (TargetLoad) -> Unit>>(
+        "it has just started" to { it.pace.begin(PaceCause.ADDED, MonotonicTime(0)) },
+        "it is cold" to { it.coldUntil = MonotonicTime(60_000) },
+        "it was cold when the requests were sent" to { it.coldUntil = MonotonicTime(100) },
+    )
+
+    @TestFactory
+    fun `no speed is learned from a target that is not itself`(): List<DynamicTest> = unsettled.map { (name, change) ->
+        DynamicTest.dynamicTest(name) {
+            val load = ToyTarget.loads(1).single().also(change)
+            repeat(10) {
+                val request = load.recordSent(null, 0.0, expectedMilliseconds = 100.0, now = MonotonicTime(50))
+                load.recordFirstEvent(request, MonotonicTime(900))
+            }
+            assertEquals(1.0, load.learnedSlowness.factor(MonotonicTime(900)))
+        }
+    }
+
     private fun observePlainCall(load: TargetLoad, at: Long, milliseconds: Long) {
         val placement = checkNotNull(choosePlain(load, MonotonicTime(at)))
         val sent = load.recordSent(null, 0.0, placement.expectedMilliseconds, MonotonicTime(at))
--- a/core/src/test/kotlin/org/heatherwind/core/placement/ToyFleet.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/ToyFleet.kt
@@ -85,7 +85,7 @@
             val receiver = random.nextInt(ROUTERS)
             if (receiver == sender) return@repeat
             val load = routers[receiver][target]
-            stated?.let { load.learnedSlowness.recordStated(it, now) }
+            stated?.let { load.learnedSlowness.recordStated(it, "router-$sender", now) }
             load.recordAnnounced(placement.prefillMilliseconds, tokens.sharedParts, now)
         }
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncement.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncement.kt
@@ -9,14 +9,12 @@
  * @property target the target's identifier in the list of targets
  * @property prefillMilliseconds estimated duration of the prompt's prefill
  * @property parts the parts of the prompt that other prompts share, in order
- * @property slownessPercent time that the target takes as the sender has learned it, in percent of the usual, or null
  */
 @Serializable
 internal data class PlacementAnnouncement(
     val target: String,
     @SerialName("readingMilliseconds") val prefillMilliseconds: Long,
     val parts: List<AnnouncedPart>,
-    val slownessPercent: Int? = null,
 )
 
 /** A part of a prompt that other prompts share, with its cache key and its length in tokens. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
@@ -11,6 +11,7 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.placement.Placement
 import org.heatherwind.core.placement.TargetLoad
@@ -18,7 +19,6 @@
 import org.heatherwind.core.work.TokenDemand
 import org.heatherwind.gateway.telemetry.DecisionLog
 import java.net.InetSocketAddress
-import kotlin.math.roundToInt
 
 /**
  * Exchanges announcements of long prompts with other routers, by datagrams. Load reports of targets arrive with a
@@ -47,34 +47,33 @@
     fun announce(placement: Placement, tokens: TokenDemand) {
         val sender = channel ?: return
         if (placement.prefillMilliseconds < MINIMUM_PREFILL_MILLISECONDS) return
-        val announcement = PlacementAnnouncement(
-            target = placement.target.entry.id.value,
-            prefillMilliseconds = placement.prefillMilliseconds.toLong(),
-            parts = tokens.sharedParts.map { AnnouncedPart(it.key, it.tokens) },
-            slownessPercent = placement.target.learnedSlowness.ownFactor(clock.now())?.let {
-                (it * PERCENT).roundToInt()
-            },
-        )
-        val bytes = Json.encodeToString(PlacementAnnouncement.serializer(), announcement).encodeToByteArray()
+        val datagrams = encode(placement, tokens, clock.now()).map { it.encodeToByteArray() }
         val peers = peers()
         val receiverCount = receiverCount(peers.size)
         val receivers = if (peers.size > receiverCount) peers.shuffled().take(receiverCount) else peers
-        receivers.forEach { sender.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), it)) }
+        receivers.forEach { receiver ->
+            datagrams.forEach { sender.write(DatagramPacket(Unpooled.wrappedBuffer(it), receiver)) }
+        }
         sender.flush()
     }
 
-    private fun recordAnnouncement(announcement: PlacementAnnouncement) {
+    private fun recordAnnouncement(announcement: PlacementAnnouncement, sender: InetSocketAddress) {
+        SpeedStatement.from(announcement)?.let { return recordSpeed(it, sender) }
         val load = loadOf(TargetId(announcement.target)) ?: return
         val parts = announcement.parts.map { PromptPart(it.key, it.tokens) }
-        announcement.slownessPercent?.let { load.learnedSlowness.recordStated(it / PERCENT, clock.now()) }
         load.recordAnnounced(announcement.prefillMilliseconds.toDouble(), parts, clock.now())
     }
 
+    private fun recordSpeed(statement: SpeedStatement, sender: InetSocketAddress) {
+        val load = loadOf(statement.target) ?: return
+        load.learnedSlowness.recordStated(statement.slownessPercent / PERCENT, sender.toString(), clock.now())
+    }
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             val text = packet.content().toString(Charsets.UTF_8)
             try {
-                recordAnnouncement(json.decodeFromString(PlacementAnnouncement.serializer(), text))
+                recordAnnouncement(json.decodeFromString(PlacementAnnouncement.serializer(), text), packet.sender())
             } catch (failure: SerializationException) {
                 log.stateChange(
                     "placement",
@@ -98,6 +97,17 @@
             else -> (MAXIMUM_PEERS * MAXIMUM_PEERS / peers).coerceAtLeast(MINIMUM_PEERS)
         }
 
+        /** Returns the announcement of [placement], and this router's statement of the target's speed if it has one. */
+        fun encode(placement: Placement, tokens: TokenDemand, now: MonotonicTime): List<String> {
+            val announcement = PlacementAnnouncement(
+                target = placement.target.entry.id.value,
+                prefillMilliseconds = placement.prefillMilliseconds.toLong(),
+                parts = tokens.sharedParts.map { AnnouncedPart(it.key, it.tokens) },
+            )
+            return listOfNotNull(announcement, SpeedStatement.of(placement.target, now)?.toAnnouncement())
+                .map { Json.encodeToString(PlacementAnnouncement.serializer(), it) }
+        }
+
         /** Routers of another version may announce more. */
         private val json = Json { ignoreUnknownKeys = true }
         private const val PERCENT = 100.0
