Give a claim to a cold target's share its own type, and tidy up

Change: PaceClaim can be given back more than once; FleetState.adoptEntry; lines wrapped. Measured: TargetPaceTest, ManyRoutersPaceTest, Cold*Test, PredictionTest, TargetSpeedTest, TargetReturnTest, PlacementAnnouncementsTest, TargetNoticesTest, WaitingRoomTest and FleetStartTest pass.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/ColdStatements.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/ColdStatements.kt
@@ -10,7 +10,7 @@
     /** Offset of the newest entry from which [until] was taken. */
     private var offset = -1L
 
-    /** Records the statement of the entry at [offset]; one that is read again, or after a newer one, changes nothing. */
+    /** Records the statement of the entry at [offset]. One read again, or after a newer one, changes nothing. */
     fun recordListed(milliseconds: Long, offset: Long, now: MonotonicTime) {
         if (offset <= this.offset) return
         this.offset = offset
--- a/core/src/main/kotlin/org/heatherwind/core/placement/LearnedSlowness.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/LearnedSlowness.kt
@@ -26,8 +26,8 @@
     }
 
     /**
-     * Records that the router [source] stated at [now] that it has learned [slowness]; nonsense is ignored. Only its last
-     * statement counts, however often it repeats it.
+     * Records that the router [source] stated at [now] that it has learned [slowness]; nonsense is ignored. Only its
+     * last statement counts, however often it repeats it.
      */
     public fun recordStated(slowness: Double, source: String, now: MonotonicTime) {
         if (!slowness.isFinite() || slowness <= 0) return
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -26,7 +26,7 @@
     private val latencyRatioEstimate = LatencyRatioEstimate(LATENCY_RATIO_WEIGHT)
 
     /** Limits what the target gets while it has just started or recovered. */
-    public val pace: TargetPace = 
+    public val pace: TargetPace =
         history?.pace?.takeIf { history.entry.service == entry.service }
             ?: TargetPace(entry.id, { entry.slots }, paceSharing)
 
@@ -116,8 +116,7 @@
         coldStatements.recordListed(milliseconds, offset, now)
 
     /** Records that the target has stated in an answer, received at [now], to stay cold for [milliseconds]. */
-    public fun recordStatedCold(milliseconds: Long, now: MonotonicTime): Unit =
-        coldStatements.record(milliseconds, now)
+    public fun recordStatedCold(milliseconds: Long, now: MonotonicTime): Unit = coldStatements.record(milliseconds, now)
 
     /** Returns the cached prefix tokens of a prompt, as estimated from the prompts known to have been sent here. */
     public fun cachedTokens(tokens: TokenDemand): Long = prefixCache.cachedTokens(tokens.parts)
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
@@ -91,17 +91,16 @@
         if (cause != null && now.millisecondsSince(coldChangedAt) < COLD_CHANGE_MILLISECONDS) return
         coldChangedAt = now
         // A router that has had answers while the target was cold knows its pace.
-        if (isColdNow) begin(PaceCause.COLD, now) else if (!hasAnswered) begin(PaceCause.COLD_ENDED, now)
+        when {
+            isColdNow -> begin(PaceCause.COLD, now)
+            !hasAnswered -> begin(PaceCause.COLD_ENDED, now)
+        }
     }
 
     /** Claims this router's share of the target, should it be cold, for a request that is about to be sent. */
-    public fun claim() {
+    public fun claim(): PaceClaim {
         claims++
-    }
-
-    /** Gives back what [claim] has claimed, as the request was sent or isn't going to be. */
-    public fun giveBack() {
-        claims--
+        return PaceClaim { claims-- }
     }
 
     /** Records that a request was sent to the target at [now]. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/SpeedStatement.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/SpeedStatement.kt
@@ -20,7 +20,7 @@
         private const val PREFIX = "speed of "
         private const val PERCENT = 100
 
-        /** Returns what this router states of [target] at [now], or null if it knows too little or of a passing state. */
+        /** Returns what this router states of [target] at [now], or null if it knows too little. */
         fun of(target: TargetLoad, now: MonotonicTime): SpeedStatement? =
             target.learnedSlowness.ownFactor(now)?.takeIf { target.isSettled(now) }
                 ?.let { SpeedStatement(target.entry.id, (it * PERCENT).roundToLong()) }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -51,9 +51,7 @@
         clock.now(),
     )
     private var isFirstEventRecorded = false
-
-    /** Whether this attempt has claimed a share of the target's pace, from its choice until the request is sent. */
-    private var isClaiming = true.also { target.pace.claim() }
+    private val claim = target.pace.claim()
 
     /** When the response is overdue. Only valid parts of the answer extend it, other bytes do not. */
     private var progressDeadline = clock.now()
@@ -117,7 +115,7 @@
         val connection = checkNotNull(connection)
         progress.recordSent()
         target.pace.recordSent(clock.now())
-        giveBack()
+        claim.giveBack()
         progress.connections += connection
         connection.send(request.head.method(), request.head.uri(), headers, request.body)
         extendProgress(hasStarted = false)
@@ -175,17 +173,12 @@
         if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) progress.recordNotRun()
         if (result == null) observation?.abandon() else observation?.end(result)
         target.recordEnded(inFlight)
-        giveBack()
+        claim.giveBack()
         if (result is AttemptResult.Failed) progress.keepFailure(result, memory) else memory.release()
         val isComplete = result != null && result !is AttemptResult.Incomplete
         connection?.let { client.release(target, it, isComplete) }
     }
 
-    private fun giveBack() {
-        if (isClaiming) target.pace.giveBack()
-        isClaiming = false
-    }
-
     /** Runs [act] and ends the attempt if that returns a result or fails. */
     private inline fun <T> ending(act: () -> T): T {
         var isSuccessful = false
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -71,17 +71,19 @@
         loads.values.filter { it.entry.id !in updated.entries }
             .forEach { removed[it.entry.id] = it.toHistory() }
         loads.keys.retainAll(updated.entries.keys)
-        updated.entries.forEach { (id, entry) ->
-            val existing = loads[id]
-            if (existing == null || !existing.entry.isSameProcessAs(entry)) {
-                val history = historyOf(entry, existing)
-                loads[id] = TargetLoad(entry, paceSharingOf(entry.service), Random.Default::nextDouble, history).apply {
-                    causeOfReturn(entry, existing)?.let { pace.begin(it, now) }
-                }
-            } else {
-                existing.entry = entry
-            }
+        updated.entries.values.forEach { adoptEntry(it, now) }
+    }
+
+    private fun adoptEntry(entry: TargetEntry, now: MonotonicTime) {
+        val existing = loads[entry.id]
+        if (existing != null && existing.entry.isSameProcessAs(entry)) {
+            existing.entry = entry
+            return
         }
+        val history = historyOf(entry, existing)
+        val load = TargetLoad(entry, paceSharingOf(entry.service), Random.Default::nextDouble, history)
+        causeOfReturn(entry, existing)?.let { load.pace.begin(it, now) }
+        loads[entry.id] = load
     }
 
     /** Returns what is known of the process of [entry], although its entry was removed or has changed. */
