--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
@@ -17,7 +17,7 @@
  */
 public class TargetPace(
     private val target: TargetId,
-    private val slots: () -> Int,
+    private var slots: () -> Int,
     private val sharing: PaceSharing,
 ) {
     private var cause: PaceCause? = null
@@ -26,15 +26,33 @@
     private var hasAnswered = false
     private var ratioEstimate = LatencyRatioEstimate(RATIO_WEIGHT)
     private var isCold = false
+    private var coldChangedAt = MonotonicTime.distantPast
     private var lastSentAt = MonotonicTime.distantPast
+    private var claims = 0
     private var place: PacePlace? = null
     private var placeAmong: Set<InstanceId>? = null
 
     /** Whether the target's pace is limited at present. */
     public val isLimited: Boolean get() = cause != null
 
-    /** Begins to find the pace for [cause]. No requests are sent before [startsAt]. */
+    /** Takes the target's slots from [slots] from now on, as the target has another entry. */
+    internal fun useSlots(slots: () -> Int) {
+        this.slots = slots
+    }
+
+    /** Whether the target is cold, and a request that is about to be sent has claimed this router's share of it. */
+    internal val isClaimed: Boolean get() = isCold && claims > 0
+
+    /**
+     * Begins to find the pace for [cause]. No requests are sent before [startsAt]. What this router alone suspects
+     * neither replaces a pace that all routers find nor begins one anew for each request that fails.
+     */
     public fun begin(cause: PaceCause, startsAt: MonotonicTime) {
+        val running = this.cause
+        if (running != null && !cause.isCommon) {
+            if (running == cause) this.startsAt = maxOf(this.startsAt, startsAt)
+            return
+        }
         this.cause = cause
         this.startsAt = startsAt
         val share = firstSenders.toDouble() / (currentPlace()?.routers ?: 1)
@@ -59,11 +77,7 @@
      */
     public fun isWithinCeiling(coldUntil: MonotonicTime, now: MonotonicTime): Boolean {
         val isColdNow = now < coldUntil
-        if (isColdNow != isCold) {
-            isCold = isColdNow
-            // A router that has had answers while the target was cold knows its pace.
-            if (isColdNow) begin(PaceCause.COLD, now) else if (!hasAnswered) begin(PaceCause.COLD_ENDED, now)
-        }
+        if (isColdNow != isCold) recordCold(isColdNow, now)
         if (!isColdNow) return true
         val ceiling = sharing.ceiling ?: return true
         if (!sharing.isKnownToOthers()) return false
@@ -71,6 +85,24 @@
         return now.millisecondsSince(lastSentAt) >= interval
     }
 
+    private fun recordCold(isColdNow: Boolean, now: MonotonicTime) {
+        isCold = isColdNow
+        // A target that states one thing and at once the other doesn't begin its pace anew each time.
+        if (cause != null && now.millisecondsSince(coldChangedAt) < COLD_CHANGE_MILLISECONDS) return
+        coldChangedAt = now
+        // A router that has had answers while the target was cold knows its pace.
+        when {
+            isColdNow -> begin(PaceCause.COLD, now)
+            !hasAnswered -> begin(PaceCause.COLD_ENDED, now)
+        }
+    }
+
+    /** Claims this router's share of the target, should it be cold, for a request that is about to be sent. */
+    public fun claim(): PaceClaim {
+        claims++
+        return PaceClaim { claims-- }
+    }
+
     /** Records that a request was sent to the target at [now]. */
     public fun recordSent(now: MonotonicTime) {
         sharing.recordSent(now)
@@ -94,9 +126,10 @@
         val ratio = ratioEstimate.ratioAt(now)
         when {
             ratio <= USUAL_RATIO -> window += WINDOW_PER_ANSWER
-            ratio > SLOW_RATIO -> window = (window / 2).coerceAtLeast(SMALLEST_WINDOW)
+            ratio <= SLOW_RATIO -> window += WINDOW_PER_LATE_ANSWER
+            else -> window = (window / 2).coerceAtLeast(SMALLEST_WINDOW)
         }
-        if (window > usefulWindow() && areTurnsOver(now)) end(now)
+        if (!isCold && window > usefulWindow() && areTurnsOver(now)) end(now)
     }
 
     /** Records a whole answer at [now], which ends a suspicion early. */
@@ -159,6 +192,12 @@
         /** Room for the request that was answered, which may go on for long, and for one more. */
         const val WINDOW_PER_ANSWER = 2.0
 
+        /** Neither in time nor slow may be how the target is from now on, so that it has to end some time. */
+        const val WINDOW_PER_LATE_ANSWER = 0.5
+
+        /** Statements closer to each other than this contradict each other: warming up takes longer. */
+        const val COLD_CHANGE_MILLISECONDS = 1_000L
+
         /** Predictions are often wrong by up to this factor. */
         const val USUAL_RATIO = 2.0
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -51,6 +51,7 @@
         clock.now(),
     )
     private var isFirstEventRecorded = false
+    private val claim = target.pace.claim()
 
     /** When the response is overdue. Only valid parts of the answer extend it, other bytes do not. */
     private var progressDeadline = clock.now()
@@ -93,8 +94,8 @@
         val isRepeatable = work.route.repeatability != Repeatability.AtMostOnce
         connection = client.connect(target, isRepeatable, excluded = progress.connections)
         if (connection != null) {
-            val isOpen = target.isOpen(clock.now())
-            return@ending if (isOpen) null else AttemptResult.NotSent("the target may get no request now")
+            val mayBeSent = target.mayBeSent(clock.now())
+            return@ending if (mayBeSent) null else AttemptResult.NotSent("the target may get no request now")
         }
         target.recordConnectionFailure(clock.now())
         client.closeIdle(target)
@@ -114,6 +115,7 @@
         val connection = checkNotNull(connection)
         progress.recordSent()
         target.pace.recordSent(clock.now())
+        claim.giveBack()
         progress.connections += connection
         connection.send(request.head.method(), request.head.uri(), headers, request.body)
         extendProgress(hasStarted = false)
@@ -171,6 +173,7 @@
         if (result is AttemptResult.NotRun || result is AttemptResult.Misdirected) progress.recordNotRun()
         if (result == null) observation?.abandon() else observation?.end(result)
         target.recordEnded(inFlight)
+        claim.giveBack()
         if (result is AttemptResult.Failed) progress.keepFailure(result, memory) else memory.release()
         val isComplete = result != null && result !is AttemptResult.Incomplete
         connection?.let { client.release(target, it, isComplete) }
