--- a/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PlacementPolicy.kt
@@ -143,11 +143,7 @@
             (load.waitingRequests(now) + excess) * MILLISECONDS_PER_WAITING_REQUEST
     }
 
-    private fun chooseForPlainCall(
-        candidates: List<TargetLoad>,
-        now: MonotonicTime,
-        aims: PlacementAims,
-    ): Placement? {
+    private fun chooseForPlainCall(candidates: List<TargetLoad>, now: MonotonicTime, aims: PlacementAims): Placement? {
         val target = candidates.minByOrNull { load ->
             val inFlight = load.inFlightRequests + load.externalRequests(now)
             inFlight / load.slots + load.waitingRequests(now) + load.failureScore(now) +
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
@@ -15,11 +15,7 @@
  * trip up to its slots, and then a quarter more with each. A router needs nothing from the others for that, and an
  * answer shows it what they have sent.
  */
-public class TargetPace(
-    private val target: TargetId,
-    private var slots: () -> Int,
-    private val sharing: PaceSharing,
-) {
+public class TargetPace(private val target: TargetId, private var slots: () -> Int, private val sharing: PaceSharing) {
     private var cause: PaceCause? = null
     private var startsAt = MonotonicTime.distantPast
     private var window = SMALLEST_WINDOW
--- a/core/src/test/kotlin/org/heatherwind/core/placement/ColdCeilingTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/ColdCeilingTest.kt
@@ -85,14 +85,13 @@
         assertEquals(true, pace.isWithinCeiling(MonotonicTime(3_000), MonotonicTime(3_000)))
     }
 
-    private fun firstBreach(rule: Rule): String? =
-        (0 until HISTORIES).firstNotNullOfOrNull { seed ->
-            val trouble = Trouble.entries[seed % Trouble.entries.size]
-            val sent = History(seed, trouble, rule).play()
-            val limit = CEILING.maximumPerSecond
-            (0 until sent.size - limit).firstOrNull { sent[it + limit] - sent[it] < 1_000 }
-                ?.let { "seed $seed, $trouble: ${limit + 1} requests within a second from ${sent[it]} ms" }
-        }
+    private fun firstBreach(rule: Rule): String? = (0 until HISTORIES).firstNotNullOfOrNull { seed ->
+        val trouble = Trouble.entries[seed % Trouble.entries.size]
+        val sent = History(seed, trouble, rule).play()
+        val limit = CEILING.maximumPerSecond
+        (0 until sent.size - limit).firstOrNull { sent[it + limit] - sent[it] < 1_000 }
+            ?.let { "seed $seed, $trouble: ${limit + 1} requests within a second from ${sent[it]} ms" }
+    }
 
     private enum class Trouble {
         NONE,
@@ -110,11 +109,7 @@
         TURNS,
     }
 
-    private class History(
-        seed: Int,
-        private val trouble: Trouble,
-        private val rule: Rule,
-    ) {
+    private class History(seed: Int, private val trouble: Trouble, private val rule: Rule) {
         private val random = Random(seed)
         private val target = TargetId("target-$seed")
         private val ids = List(ROUTERS) { InstanceId("router-$it") }
--- a/core/src/test/kotlin/org/heatherwind/core/placement/DataCentreChoiceTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/DataCentreChoiceTest.kt
@@ -50,15 +50,14 @@
 
     // Guards against each data centre reading the long shared parts for itself.
     @TestFactory
-    fun `shared parts are read at one target for all data centres`(): List<DynamicTest> =
-        (1..20).map { number ->
-            DynamicTest.dynamicTest("part $number") {
-                val parts = persistentListOf(shared.first().copy(key = "part-$number"), shared.last())
-                val tokens = TokenDemand(prompt = 6_000, maximumOutput = 300, parts)
-                val loads = ToyTarget.loads(6, dataCentres = 2)
-                assertEquals(choose(loads, tokens, "z0"), choose(loads, tokens, "z1"))
-            }
+    fun `shared parts are read at one target for all data centres`(): List<DynamicTest> = (1..20).map { number ->
+        DynamicTest.dynamicTest("part $number") {
+            val parts = persistentListOf(shared.first().copy(key = "part-$number"), shared.last())
+            val tokens = TokenDemand(prompt = 6_000, maximumOutput = 300, parts)
+            val loads = ToyTarget.loads(6, dataCentres = 2)
+            assertEquals(choose(loads, tokens, "z0"), choose(loads, tokens, "z1"))
         }
+    }
 
     // Guards against reluctance and crossing costing more than a short shared part, so that many targets read it.
     @TestFactory
--- a/core/src/test/kotlin/org/heatherwind/core/placement/ManyRoutersPaceTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/ManyRoutersPaceTest.kt
@@ -75,7 +75,11 @@
             targets.forEach { it.advance(now, paces) }
             for (router in 0 until ROUTERS) {
                 val hasWork = random.nextDouble() < ARRIVALS_PER_MILLISECOND
-                if (hasWork && !send(router, targets, paces[router], now)) sharings[router].recordSent(MonotonicTime(now))
+                if (hasWork &&
+                    !send(router, targets, paces[router], now)
+                ) {
+                    sharings[router].recordSent(MonotonicTime(now))
+                }
             }
             if (filledAt == Long.MAX_VALUE && targets.all { it.inFlight.size >= SLOTS * 3 / 4 }) filledAt = now
         }
--- a/core/src/test/kotlin/org/heatherwind/core/placement/TargetPaceTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/TargetPaceTest.kt
@@ -24,7 +24,15 @@
 
     private val cases = listOf(
         Case("no answer yet, one router", routers = 1, answers = emptyList(), isLimited = true, roomFor = 4),
-        Case("a few answers in time, one router", routers = 1, answers = List(4) { 1.0 }, isLimited = true, roomFor = 12),
+        Case(
+            "a few answers in time, one router",
+            routers = 1,
+            answers = List(4) {
+                1.0
+            },
+            isLimited = true,
+            roomFor = 12,
+        ),
         Case("answers in time, one router", routers = 1, answers = List(20) { 1.0 }, isLimited = false),
         Case("an answer in time, 80 routers of which some had no turn yet", 80, listOf(1.0), isLimited = true),
         Case("an answer in time, 80 routers that all had their turn", 80, listOf(1.0), false, at = 5_000),
@@ -209,7 +217,9 @@
             .also { sharing -> repeat(100) { sharing.recordSent(MonotonicTime(-it.toLong())) } }
     }
 
-    private fun paceAmong(count: Int, self: Int = 0) = TargetPace(TargetId("target"), { SLOTS }, sharingAmong(count, self))
+    private fun paceAmong(count: Int, self: Int = 0) = TargetPace(TargetId("target"), {
+        SLOTS
+    }, sharingAmong(count, self))
 
     private fun sharingAmong(count: Int, self: Int = 0, requestsPerSecond: Int = 400): PaceSharing {
         val routers = List(count) { InstanceId("router-$it") }.toSet()
--- a/core/src/test/kotlin/org/heatherwind/core/placement/UnevenTargetsTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/UnevenTargetsTest.kt
@@ -38,7 +38,12 @@
         },
         Case("machines turn slow for moments, and say so", maximumLate = 0.1) {
             val slowdown = { target: Int, at: Long -> if ((at / 100 + target * 7) % 20 < 3) 2.5 else 1.0 }
-            ToyFleet(List(TARGETS) { target -> ToyTarget(1.0) { slowdown(target, it) } }, load = 0.3) { target, it, at ->
+            ToyFleet(
+                List(TARGETS) { target ->
+                    ToyTarget(1.0) { slowdown(target, it) }
+                },
+                load = 0.3,
+            ) { target, it, at ->
                 it to slowdown(target, at)
             }
         },
@@ -48,8 +53,11 @@
     fun `requests are in time`(): List<DynamicTest> = cases.map { case ->
         DynamicTest.dynamicTest(case.name) {
             val fleet = case.fleet().run()
-            val measured = "p50 ${fleet.latency(0.5)}, p95 ${fleet.latency(0.95)}, late ${fleet.lateShare()}, busiest ${fleet.busiestToMean}, " +
-                "reads ${fleet.readsOfPart}, readers ${fleet.readersOfHotPart()}, seed ${ToyFleet.SEED}"
+            val measured =
+                "p50 ${fleet.latency(
+                    0.5,
+                )}, p95 ${fleet.latency(0.95)}, late ${fleet.lateShare()}, busiest ${fleet.busiestToMean}, " +
+                    "reads ${fleet.readsOfPart}, readers ${fleet.readersOfHotPart()}, seed ${ToyFleet.SEED}"
             println("${case.name}: $measured")
             assertTrue(fleet.lateShare() <= case.maximumLate, measured)
             assertTrue(fleet.readsOfPart <= MAXIMUM_READS, measured)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -161,9 +161,7 @@
     /** Returns the error for the caller, who may come back when room is expected if the targets had none. */
     private fun finalError(): RouterError = when {
         error.code != ResultCode.NO_TARGET_FREE && error.code != ResultCode.TARGET_REFUSED -> error
-
         context.state.isEvacuated(service) -> error.copy(retryAfterMilliseconds = EVACUATION_RETRY_AFTER_MILLISECONDS)
-
         else -> error.copy(retryAfterMilliseconds = gate.retryAfterMilliseconds())
     }
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/PeerReportsTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/PeerReportsTest.kt
@@ -79,7 +79,9 @@
                 reports.onRecords(listOf(record("r2", report("10.0.0.9:7520"))))
                 reports.onCurrent(now, isReconnected = false)
                 assertEquals(false, reports.isKnownToOthers)
-                reports.onRecords(listOf(record("self", report("10.0.0.8:7520").replace("odd@1", start.ownIncarnation))))
+                reports.onRecords(
+                    listOf(record("self", report("10.0.0.8:7520").replace("odd@1", start.ownIncarnation))),
+                )
                 now = now.plusMilliseconds(start.knownAfter - 1)
                 assertEquals(false, reports.isKnownToOthers && start.knownAfter > 0)
                 now = now.plusMilliseconds(1)
