Cover the demand until the next report in large fleets

With no known demand a ceiling allows 1% / 83 of what is left. Fleets of up to ten routers had also got an undivided share and no reports ahead of need below 500 tokens. Change: While much is left (half of the prepaid tokens and 20 s of the whole fleet's demand), the slack of a fleet of more than ten routers covers 1.5 s of demand and the largest worst case of the last 10 s (20,000 to 50,000 tokens), within 15% of what is left for all routers together, as far as their demand is known; it falls to the share as before at a quarter and at 5 s. What is released after 1.7 s without the store stays as before. Up to ten routers keep their sizes: no undivided share, reports ahead of need as before. Measured: GrantPolicyTest (54, with the new table, named by load, and the bound over 83 routers) and BudgetHoldingTest (9) passed. The table was not run on the code before, whose sizes it states for the cases "as before". A first request above 15% / 83 of what is left still waits.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -23,6 +23,7 @@
     private var proposedCeiling: SentCeiling? = null
     private var witnessedTokens = Long.MIN_VALUE
     private val demand = DecayingRate(startedAt, DEMAND_HALF_LIFE_MILLISECONDS)
+    private var largestRequest = LargestRequest(tokens = 0, seenAt = startedAt)
 
     /** Granted tokens that are neither used nor reserved. */
     public val availableTokens: Long get() = grantedTokens - committedTokens
@@ -62,13 +63,13 @@
      */
     public fun nextCeiling(now: MonotonicTime, neededTokens: Long, remaining: RemainingBudget): SpendCeiling {
         val rate = demandPerSecond(now)
-        val lossAllowance = remaining.lossAllowanceTokens(rate)
+        val lossAllowance = remaining.lossAllowanceTokens(rate, largestRequestTokens(now))
         val minimum = minOf(lossAllowance, MINIMUM_SLACK_TOKENS)
         val slack = lossAllowance.coerceAtLeast(neededTokens + minimum)
         return SpendCeiling(
             tokens = maxOf(committedTokens, minOf(grantedTokens, committedTokens + slack)),
             growthPerSecond = maxOf(rate.toLong(), MINIMUM_GROWTH_TOKENS_PER_SECOND),
-            releaseTokens = lossAllowance,
+            releaseTokens = remaining.thriftyLossAllowanceTokens(rate),
         )
     }
 
@@ -91,23 +92,29 @@
 
     /**
      * Returns whether a higher ceiling should be reported now, before requests have to wait for it: less than a share
-     * of the slack that the [remaining] budget allows is left. Where that slack is smaller than a short request, the
-     * next request waits for its own report anyway, and one ahead of it would be in vain.
+     * of the slack that the [remaining] budget allows is left. Where that slack is smaller than a short request in a
+     * large fleet, the next request waits for its own report anyway, and one ahead of it would be in vain.
      */
     public fun isCeilingLow(now: MonotonicTime, remaining: RemainingBudget): Boolean {
         val confirmedTokens = confirmedCeiling?.tokens ?: 0
         val unusedCeilingTokens = confirmedTokens - committedTokens
         val grantAboveCeilingTokens = grantedTokens - confirmedTokens
-        val allowance = remaining.lossAllowanceTokens(demandPerSecond(now))
-        return grantAboveCeilingTokens > 0 && allowance >= SMALLEST_REQUEST_TOKENS &&
+        val allowance = remaining.lossAllowanceTokens(demandPerSecond(now), largestRequestTokens(now))
+        val isUseful = remaining.isSmallFleet || allowance >= SMALLEST_REQUEST_TOKENS
+        return grantAboveCeilingTokens > 0 && isUseful &&
             unusedCeilingTokens < allowance * LOW_CEILING_SHARE
     }
 
     /** Records a request for [tokens] at [now], whether it can be served or not. */
     public fun recordDemand(tokens: Long, now: MonotonicTime) {
         demand.add(tokens.toDouble(), now)
+        if (tokens >= largestRequestTokens(now)) largestRequest = LargestRequest(tokens, now)
     }
 
+    /** The worst case of the largest recent request, or 0. */
+    private fun largestRequestTokens(now: MonotonicTime): Long =
+        largestRequest.tokens.takeIf { now.millisecondsSince(largestRequest.seenAt) < RECENT_MILLISECONDS } ?: 0
+
     /** Adapts the half-life of the demand: the more [holders], the fewer requests each gets, so it averages longer. */
     public fun updateHolderCount(holders: Int) {
         demand.halfLifeMilliseconds = maxOf(DEMAND_HALF_LIFE_MILLISECONDS, holders * HALF_LIFE_PER_HOLDER_MILLISECONDS)
@@ -151,7 +158,12 @@
         grantedTokens = tokens
     }
 
+    private class LargestRequest(val tokens: Long, val seenAt: MonotonicTime)
+
     private companion object {
+        /** Large requests of a customer usually come again within this time. */
+        const val RECENT_MILLISECONDS = 10_000L
+
         /** Short enough to follow a sudden rise in demand within one or two seconds. */
         const val DEMAND_HALF_LIFE_MILLISECONDS = 3_000.0
 
--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -10,8 +10,17 @@
  * @property tokens prepaid tokens that no router has charged
  * @property demandElsewherePerSecond tokens requested per second at other routers
  * @property routers number of live routers, this one included
+ * @property prepaidTokens tokens that were prepaid; where they are not known, few are taken to be left
  */
-public data class RemainingBudget(val tokens: Long, val demandElsewherePerSecond: Double, val routers: Int = 1) {
+public data class RemainingBudget(
+    val tokens: Long,
+    val demandElsewherePerSecond: Double,
+    val routers: Int = 1,
+    val prepaidTokens: Long = Long.MAX_VALUE,
+) {
+    /** Whether reports follow each other so closely that requests hardly wait for them. */
+    val isSmallFleet: Boolean get() = routers <= SMALL_FLEET_ROUTERS
+
     /** Returns the share of this router in the customer's demand, if [demandPerSecond] is requested here. */
     public fun demandShare(demandPerSecond: Double): Double =
         demandPerSecond / (demandPerSecond + demandElsewherePerSecond).coerceAtLeast(1.0)
@@ -26,10 +35,33 @@
 
     /**
      * Returns the tokens that the customer may lose by the failure of this router, where [demandPerSecond] is requested
-     * here. The shares of all routers add up to a fixed share of the remaining tokens, so the failure of all of them
-     * at once loses no more than that, whatever the size of the fleet.
+     * here. While much is left in a large fleet, they cover the demand until the next report and one request of
+     * [largestRequestTokens]. The shares of all routers add up to a fixed share of the remaining tokens, as far as the
+     * demand of the others is known.
      */
-    public fun lossAllowanceTokens(demandPerSecond: Double): Long {
+    public fun lossAllowanceTokens(demandPerSecond: Double, largestRequestTokens: Long = 0): Long {
+        val thrifty = thriftyLossAllowanceTokens(demandPerSecond)
+        if (isSmallFleet) return thrifty
+        val known = demandPerSecond + demandElsewherePerSecond
+        val shareByDemand = if (known < 1.0) 0.0 else AMPLE_LOSS_SHARE_BY_DEMAND
+        val share = shareByDemand * demandShare(demandPerSecond) + (AMPLE_LOSS_SHARE - shareByDemand) / routers
+        val needed = demandPerSecond * MAXIMUM_LOSS_SECONDS +
+            largestRequestTokens.coerceIn(LEAST_LARGE_REQUEST_TOKENS, GREATEST_LARGE_REQUEST_TOKENS)
+        val ample = minOf(tokens.coerceAtLeast(0) * share, needed)
+        return thrifty + ((ample - thrifty).coerceAtLeast(0.0) * plenty(demandPerSecond)).toLong()
+    }
+
+    /** Returns how much is left of a budget, from 0 for little to 1 for both a large part and many seconds. */
+    private fun plenty(demandPerSecond: Double): Double {
+        val shareLeft = tokens.toDouble() / prepaidTokens.coerceAtLeast(1)
+        return minOf(
+            (shareLeft - LITTLE_SHARE_LEFT) / (MUCH_SHARE_LEFT - LITTLE_SHARE_LEFT),
+            (secondsLeft(demandPerSecond) - FEW_SECONDS_LEFT) / (MANY_SECONDS_LEFT - FEW_SECONDS_LEFT),
+        ).coerceIn(0.0, 1.0)
+    }
+
+    /** Returns the tokens that the customer may lose by the failure of this router where little is left. */
+    public fun thriftyLossAllowanceTokens(demandPerSecond: Double): Long {
         val total = tokens.coerceAtLeast(0)
         val lossShare = (LOSS_SHARE_BY_DEMAND + routers * LOSS_SHARE_PER_ROUTER).coerceAtMost(MAXIMUM_LOSS_SHARE)
         val byDemand = minOf(
@@ -41,27 +73,46 @@
         return maxOf(byDemand, regardlessOfDemand).toLong()
     }
 
-    private companion object {
+    public companion object {
+        /** Reports of so few routers follow each other within tens of milliseconds. */
+        public const val SMALL_FLEET_ROUTERS: Int = 10
+
+        /** Share of a budget that may be lost if all routers of a large fleet fail while much is left. */
+        private const val AMPLE_LOSS_SHARE = 0.15
+
+        /** Part of it that is divided by demand; each router has a part of the rest, for first requests. */
+        private const val AMPLE_LOSS_SHARE_BY_DEMAND = 0.10
+
+        /** Bounds on the request that the slack covers besides the demand; larger ones wait for a report. */
+        private const val LEAST_LARGE_REQUEST_TOKENS = 20_000L
+        private const val GREATEST_LARGE_REQUEST_TOKENS = 50_000L
+
+        /** Below the first, what a failure loses would be missing soon; above the second, the rest outlasts it. */
+        private const val LITTLE_SHARE_LEFT = 0.25
+        private const val MUCH_SHARE_LEFT = 0.5
+        private const val FEW_SECONDS_LEFT = 5.0
+        private const val MANY_SECONDS_LEFT = 20.0
+
         /** If the tokens last for less than this, a holder's share does not cover one request. */
-        const val MINIMUM_DIVISIBLE_SECONDS = 2.0
+        private const val MINIMUM_DIVISIBLE_SECONDS = 2.0
 
         /**
          * Share of a budget that may be lost if all routers with demand fail at once. It rises with the fleet, whose
          * reports are further apart.
          */
-        const val LOSS_SHARE_BY_DEMAND = 0.01
-        const val LOSS_SHARE_PER_ROUTER = 0.00025
-        const val MAXIMUM_LOSS_SHARE = 0.04
+        private const val LOSS_SHARE_BY_DEMAND = 0.01
+        private const val LOSS_SHARE_PER_ROUTER = 0.00025
+        private const val MAXIMUM_LOSS_SHARE = 0.04
 
         /** Share of a budget that may be lost if all routers fail at once, whether they have demand or not. */
-        const val LOSS_SHARE_REGARDLESS_OF_DEMAND = 0.01
+        private const val LOSS_SHARE_REGARDLESS_OF_DEMAND = 0.01
 
         /** Covers the demand until the next report of a fleet of a hundred routers, or two large requests. */
-        const val MAXIMUM_LOSS_SECONDS = 1.5
-        const val MAXIMUM_LOSS_TOKENS_BY_DEMAND = 40_000.0
+        private const val MAXIMUM_LOSS_SECONDS = 1.5
+        private const val MAXIMUM_LOSS_TOKENS_BY_DEMAND = 40_000.0
 
         /** About two requests of mean size in the class of the largest requests. */
-        const val MAXIMUM_LOSS_TOKENS = 20_000.0
+        private const val MAXIMUM_LOSS_TOKENS = 20_000.0
     }
 }
 
@@ -103,7 +154,7 @@
      * part is in comparison with a large request, which then takes its tokens from this share.
      */
     private fun undividedShare(holders: Int): Double =
-        (holders * UNDIVIDED_SHARE_PER_HOLDER).coerceIn(0.0, MAXIMUM_UNDIVIDED_SHARE)
+        ((holders - UNDIVIDED_FROM_HOLDERS) * UNDIVIDED_SHARE_PER_HOLDER).coerceIn(0.0, MAXIMUM_UNDIVIDED_SHARE)
 
     /** Returns whether [holding] should request more tokens now, before it runs out. */
     public fun isRefillDue(
@@ -195,7 +246,10 @@
         /** While this share of the remaining tokens is free, a router that needs more can be granted them. */
         private const val AMPLE_FREE_SHARE = 0.15
 
-        /** A few percent in a fleet of ten, whose parts are as large as any request. */
+        /** In a fleet of up to ten, the parts are as large as any request. */
+        private const val UNDIVIDED_FROM_HOLDERS = 10
+
+        /** Leaves a few large requests of the last tokens in a fleet of eighty. */
         private const val UNDIVIDED_SHARE_PER_HOLDER = 0.005
 
         /** Leaves more than half of the remaining tokens where the demand is, for times without the store. */
--- a/core/src/test/kotlin/org/heatherwind/core/escrow/GrantPolicyTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/escrow/GrantPolicyTest.kt
@@ -78,6 +78,77 @@
             }
         }
 
+    private class SlackCase(
+        val name: String,
+        val remaining: RemainingBudget,
+        val demandPerSecond: Double,
+        val largestRequest: Long,
+        val expected: LongRange,
+    )
+
+    private val slackCases = listOf(
+        SlackCase(
+            "83 routers, one entry with half the demand",
+            RemainingBudget(6_000_000, 75_000.0, LARGE_FLEET, prepaidTokens = 8_000_000),
+            demandPerSecond = 75_000.0,
+            largestRequest = 46_000,
+            expected = 75_000 * 83 * 10 / 1_000 + 46_000L..6_000_000L / 10,
+        ),
+        SlackCase(
+            "no demand known yet: the first request of a customer does not wait for a report",
+            RemainingBudget(3_000_000, 0.0, LARGE_FLEET, prepaidTokens = 3_000_000),
+            demandPerSecond = 0.0,
+            largestRequest = 0,
+            expected = 5_000L..3_000_000L * 15 / 100 / LARGE_FLEET,
+        ),
+        SlackCase(
+            "little left of the prepaid tokens: as before",
+            RemainingBudget(3_000_000, 75_000.0, LARGE_FLEET, prepaidTokens = 12_000_000),
+            demandPerSecond = 75_000.0,
+            largestRequest = 46_000,
+            expected = 46_125L..46_125L,
+        ),
+        SlackCase(
+            "few seconds left: as before",
+            RemainingBudget(750_000, 75_000.0, LARGE_FLEET, prepaidTokens = 800_000),
+            demandPerSecond = 75_000.0,
+            largestRequest = 46_000,
+            expected = 11_531L..11_531L,
+        ),
+        SlackCase(
+            "9 routers: as before",
+            RemainingBudget(6_000_000, 75_000.0, 9, prepaidTokens = 8_000_000),
+            demandPerSecond = 75_000.0,
+            largestRequest = 46_000,
+            expected = 36_750L..36_750L,
+        ),
+    )
+
+    @TestFactory
+    fun `given the size of a fleet when a router reports then its slack follows demand and rest`(): List<DynamicTest> =
+        slackCases.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                val slack = case.remaining.lossAllowanceTokens(case.demandPerSecond, case.largestRequest)
+                assertTrue(slack in case.expected, "$slack instead of ${case.expected}")
+            }
+        }
+
+    @TestFactory
+    fun `given much left when all routers of a large fleet fail at once then at most 15 percent is lost`() =
+        listOf(1.0 / LARGE_FLEET, 0.5, 0.95, 1.0).flatMap { share ->
+            listOf(0.0, 300.0, 150_000.0).map { demand ->
+                DynamicTest.dynamicTest("$LARGE_FLEET routers, one with $share of $demand tokens per second") {
+                    val demands = listOf(demand * share) +
+                        List(LARGE_FLEET - 1) { demand * (1 - share) / (LARGE_FLEET - 1) }
+                    val lost = demands.sumOf {
+                        RemainingBudget(REMAINING_TOKENS, demand - it, LARGE_FLEET, prepaidTokens = REMAINING_TOKENS)
+                            .lossAllowanceTokens(it, largestRequestTokens = 1_000_000)
+                    }
+                    assertTrue(lost <= REMAINING_TOKENS * 0.15, "$lost of $REMAINING_TOKENS tokens lost")
+                }
+            }
+        }
+
     @TestFactory
     fun `given a large fleet when it starts then the largest customers get grants in advance`(): List<DynamicTest> =
         cases.map { case ->
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetBudgetView.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetBudgetView.kt
@@ -18,6 +18,7 @@
         tokens = prepaidLessClosedAndCommitted(budget) - peerReports.usedElsewhere(budget.id, budget.allocation),
         demandElsewherePerSecond = peerReports.demandElsewhere(budget.id, budget.allocation),
         routers = peerReports.liveCount(),
+        prepaidTokens = customerOf(budget.id)?.prepaidTokens ?: Long.MAX_VALUE,
     )
 
     /** Prepaid tokens less the charges on closed grants and the tokens that this router has committed. */
