Repeat updates of the ledger that callers and the stop need

Cause: Pauses after conflicts grow to half a second and more, while a planned stop had 500 ms for the return of all grants and the last report. A caller that awaits a grant got the outcome of a background update that gives up after two conflicts. An initial grant that met two conflicts was never requested again. Time after the own start, in which others reported, was charged to the predecessor. A router that joins a running fleet held its initial grants back for 2.5 s, and each first read of a partition counted as contention. An awaited update follows a background one that failed or did not cover the request. Initial grants are requested until stored. The time since the own start, less one report interval, is deducted from the newest report of others: less would be unsafe, as that report may be that old. A fleet is known where another router has sent 12 reports. Until two reads can be compared, only routers of large fleets read before an append. The chaining of awaited updates has no case of its own.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -175,7 +175,7 @@
     ) { peerReports.liveCount() }
     private val bodyMemory = MemoryLimit(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
     private val responseMemory = MemoryLimit(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR)
-    private val ledgers = BudgetLedgers(this.store, settings.partitionsPerStream)
+    private val ledgers = BudgetLedgers(this.store, settings.partitionsPerStream) { peerReports.isLargeFleet }
     private val customerOf = { id: CustomerId -> state.routes?.customerById(id) }
     private val fleetBudgets = FleetBudgetView(peerReports, customerOf)
     private val policy = GrantPolicy()
@@ -311,10 +311,10 @@
             endRequests()
             listener.closeIdle(clock.now())
             log.loggingFailures("stop") {
-                withTimeoutOrNull(FINAL_WRITES_TIMEOUT_MILLISECONDS) {
-                    budgets.returnAll()
-                    reports.publishOnce()
-                }
+                withTimeoutOrNull(RETURN_TIMEOUT_MILLISECONDS) { budgets.returnAll() }
+            }
+            log.loggingFailures("stop") {
+                withTimeoutOrNull(FINAL_REPORT_TIMEOUT_MILLISECONDS) { reports.publishOnce() }
             }
             log.process("Stopped.", "open" to listener.busyCount)
             stopped.complete(Unit)
@@ -446,7 +446,12 @@
 
         const val FINAL_ANSWERS_TIMEOUT_MILLISECONDS = 150L
         const val FINAL_ANSWERS_POLL_INTERVAL_MILLISECONDS = 10L
-        const val FINAL_WRITES_TIMEOUT_MILLISECONDS = 500L
+
+        /** Covers the return of grants after several conflicts. */
+        const val RETURN_TIMEOUT_MILLISECONDS = 350L
+
+        /** Together with the times before, below the reserve at the end of a planned stop. */
+        const val FINAL_REPORT_TIMEOUT_MILLISECONDS = 250L
 
         /** Fraction of the fleet's retry limit in use; the rest allows for differing counts of live routers. */
         const val RETRY_LIMIT_FRACTION = 0.8
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetLedgers.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetLedgers.kt
@@ -6,7 +6,11 @@
 import org.heatherwind.gateway.store.StreamPartition
 
 /** The partitions of the [store] that hold the allocations of budgets; each customer belongs to one. */
-internal class BudgetLedgers(private val store: RecordStore, val partitions: Int) {
+internal class BudgetLedgers(
+    private val store: RecordStore,
+    val partitions: Int,
+    private val isLargeFleet: () -> Boolean,
+) {
     private val ledgers = HashMap<Int, LedgerPartition>()
 
     /** The partition that holds the allocation of [customer]. */
@@ -14,7 +18,7 @@
 
     /** The partition with the number [index], from 0. */
     fun at(index: Int): LedgerPartition =
-        ledgers.getOrPut(index) { LedgerPartition(store, StreamPartition(STREAM, index)) }
+        ledgers.getOrPut(index) { LedgerPartition(store, StreamPartition(STREAM, index), isLargeFleet) }
 
     companion object {
         private const val STREAM = "budgets"
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
@@ -2,7 +2,9 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -146,7 +148,7 @@
                 reports.isStoreUnreachable() -> awaitWithoutStore(budget, tokens, deadline)
 
                 budget.holding.availableTokens < tokens ->
-                    awaitGrant(budget, tokens, startGrantUpdate(budget, tokens, isAwaited = true).await())
+                    awaitGrant(budget, tokens, updateGrant(budget, tokens))
 
                 else -> {
                     awaitCeiling(budget, tokens)
@@ -164,8 +166,7 @@
      */
     private suspend fun awaitWithoutStore(budget: CustomerBudget, tokens: Long, deadline: MonotonicTime): Boolean {
         if (budget.holding.availableTokens < tokens) {
-            val update = startGrantUpdate(budget, tokens, isAwaited = true)
-            val outcome = withTimeoutOrNull(STORE_PROBE_MILLISECONDS) { update.await() }
+            val outcome = withTimeoutOrNull(STORE_PROBE_MILLISECONDS) { updateGrant(budget, tokens) }
             if (outcome != null && outcome != GrantUpdateOutcome.FAILED) return awaitGrant(budget, tokens, outcome)
         }
         if (requestTransfer(budget, tokens)) return true
@@ -255,30 +256,67 @@
     /** Requests the initial grants of one partition, whose updates share an append. */
     private fun requestInitialGrants() {
         val now = clock.now()
-        val isFleetUnknown = reports.isFirstProcess && budgets.isNotEmpty() &&
-            now.millisecondsSince(startedAt) < FIRST_REPORTS_MILLISECONDS
-        if (isShuttingDown || isFleetUnknown || reports.isStoreUnresponsive() || now < nextInitialGrantAt) return
+        val isPaused = isShuttingDown || now < nextInitialGrantAt
+        if (isPaused || isFleetUnknown(now) || reports.isStoreUnresponsive()) return
         val routers = peerReports.liveCount()
-        val missing = policy.initialGrantCustomers(customers(), routers).filter { it.id !in budgets }
+        val missing = policy.initialGrantCustomers(customers(), routers).filter { isInitialGrantMissing(it, now) }
         val ledger = ledgers.of((missing.randomOrNull() ?: return).id)
-        val chosen = missing.filter { ledgers.of(it.id) === ledger }.onEach { budgetOf(it.id) }
+        val chosen = missing.filter { ledgers.of(it.id) === ledger }
+        chosen.forEach { budgetOf(it.id).isInitialGrantDue = true }
         val spread = routers * INITIAL_GRANT_SPREAD_PER_ROUTER_MILLISECONDS
         scope.launch {
             // Routers that start at once also look for missing grants at once.
             delay((minOf(spread, MAXIMUM_JITTER_MILLISECONDS) * Math.random()).toLong())
-            chosen.forEach { customer ->
-                startGrantUpdate(budgetOf(customer.id), policy.initialGrantTokens(customer.prepaidTokens ?: 0, routers))
+            val updates = chosen.map { customer ->
+                val tokens = policy.initialGrantTokens(customer.prepaidTokens ?: 0, routers)
+                budgetOf(customer.id).let { it to startGrantUpdate(it, tokens) }
+            }
+            updates.forEach { (budget, update) ->
+                if (update.await() != GrantUpdateOutcome.FAILED) budget.isInitialGrantDue = false
             }
         }
         nextInitialGrantAt = now.plusMilliseconds((spread * (1 + Math.random()) / 2).toLong())
     }
 
-    /** Returns all tokens that are not committed, before the process ends. */
+    /** Returns whether this router may take itself for the only one of a fleet that starts for the first time. */
+    private fun isFleetUnknown(now: MonotonicTime): Boolean {
+        val isStarting = now.millisecondsSince(startedAt) < FIRST_REPORTS_MILLISECONDS
+        return isStarting && reports.isFirstProcess && budgets.isNotEmpty() && !peerReports.isFleetRunning
+    }
+
+    /** Returns whether [customer] has no initial grant yet, or an update that should have stored it failed. */
+    private fun isInitialGrantMissing(customer: Customer, now: MonotonicTime): Boolean {
+        val budget = budgets[customer.id] ?: return true
+        val isPaused = budget.pendingUpdate != null || now < budget.nextBackgroundUpdateAt
+        return budget.isInitialGrantDue && !isPaused
+    }
+
+    /** Returns all tokens that are not committed, before the process ends. Repeats failed updates until cancelled. */
     suspend fun returnAll() {
         isShuttingDown = true
         val grantedBudgets = budgets.values.filter { it.holding.grantedTokens != 0L }
         grantedBudgets.forEach { it.isClosing = true }
-        grantedBudgets.map { startGrantUpdate(it, neededTokens = 0, isAwaited = true) }.awaitAll()
+        coroutineScope { grantedBudgets.map { async { close(it) } }.awaitAll() }
+    }
+
+    private suspend fun close(budget: CustomerBudget) {
+        // Begun before, so it may store a grant that is not closed.
+        budget.pendingUpdate?.await()
+        while (startGrantUpdate(budget, neededTokens = 0, isAwaited = true).await() == GrantUpdateOutcome.FAILED) {
+            delay(RETRY_PAUSE_MILLISECONDS)
+        }
+    }
+
+    /**
+     * Updates the grant for a request that waits for [neededTokens]. An update that began without a waiting request may
+     * give up early or not cover them, so another one follows it.
+     */
+    private suspend fun updateGrant(budget: CustomerBudget, neededTokens: Long): GrantUpdateOutcome {
+        while (!budget.isPendingUpdateAwaited) {
+            val outcome = budget.pendingUpdate?.await() ?: break
+            if (outcome == GrantUpdateOutcome.UPDATED && budget.holding.availableTokens >= neededTokens) return outcome
+        }
+        return startGrantUpdate(budget, neededTokens, isAwaited = true).await()
     }
 
     private fun startGrantUpdate(
@@ -289,12 +327,14 @@
         budget.pendingUpdate?.let { return it }
         val pendingUpdate = CompletableDeferred<GrantUpdateOutcome>()
         budget.pendingUpdate = pendingUpdate
+        budget.isPendingUpdateAwaited = isAwaited
         scope.launch {
             var result = GrantUpdateOutcome.FAILED
             try {
                 result = grants.update(budget, neededTokens, isAwaited)
             } finally {
                 budget.pendingUpdate = null
+                budget.isPendingUpdateAwaited = false
                 pendingUpdate.complete(result)
             }
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/CustomerBudget.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/CustomerBudget.kt
@@ -14,6 +14,12 @@
     /** The grant update in progress, or null. */
     var pendingUpdate: CompletableDeferred<GrantUpdateOutcome>? = null
 
+    /** Whether [pendingUpdate] began for a caller that waits for it, so it does not give up early. */
+    var isPendingUpdateAwaited = false
+
+    /** Whether the initial grant was requested and not stored yet. */
+    var isInitialGrantDue = false
+
     /** Earliest time of the next quota transfer request to other routers. */
     var nextTransferRequestAt = MonotonicTime.distantPast
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
@@ -32,7 +32,7 @@
         var planned = PlannedGrant(0, 0, BudgetAllocation())
         val attempts =
             if (isAwaited) BudgetLedgers.MAXIMUM_ATTEMPTS else BudgetLedgers.MAXIMUM_BACKGROUND_ATTEMPTS
-        val update = budget.ledger.update(attempts) { allocations, isFresh ->
+        val update = budget.ledger.update(attempts, budget.isClosing) { allocations, isFresh ->
             if (isFresh) budget.isLastReadSuccessful = true
             planned = plan(budget, allocations.of(budget.id), neededTokens)
             val isLimited = budget.grantLimitTokens < planned.before
@@ -70,6 +70,8 @@
     private fun plan(budget: CustomerBudget, allocation: BudgetAllocation, neededTokens: Long): PlannedGrant {
         val before = allocation.grantOf(self)
         budget.holding.setGranted(minOf(before, budget.grantLimitTokens))
+        // An update whose outcome was unknown may have closed the grant; its charges count once.
+        if (budget.isClosing && self !in allocation.grants) return PlannedGrant(before, before, allocation)
         val after = desiredGrant(budget, allocation, neededTokens)
         if (after < before) budget.holding.setGranted(after)
         val updated = if (budget.isClosing) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -1,9 +1,11 @@
 package org.heatherwind.gateway.state
 
 import kotlinx.collections.immutable.toPersistentHashMap
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Mutex
 import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.coroutines.yield
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
@@ -24,15 +26,25 @@
  * answers of several could overtake each other; updates that wait meanwhile share the next append. Confined to the
  * event loop.
  */
-internal class LedgerPartition(private val store: RecordStore, private val partition: StreamPartition) {
+internal class LedgerPartition(
+    private val store: RecordStore,
+    private val partition: StreamPartition,
+    private val isLargeFleet: () -> Boolean,
+) {
     private val allocations = HashMap<CustomerId, BudgetAllocation>()
     private var nextOffset: Long? = null
 
     /** Whether an update may be tried without a read. */
     private var isCurrent = false
 
-    /** Whether the last look found records of other routers, so that an append without a read would fail. */
-    private var isContended = false
+    /**
+     * Whether the last look found new records of other routers, so that an append without a read would fail, or null
+     * until two looks can be compared.
+     */
+    private var isContended: Boolean? = null
+
+    /** Completed when the process ends: updates pause no longer than they have to, and none waits for a long pause. */
+    private val closing = CompletableDeferred<Unit>()
 
     private val callInFlight = Mutex()
     private val waiting = LinkedHashSet<PendingUpdate>()
@@ -42,9 +54,15 @@
 
     /**
      * Stores what [change] plans, on the condition that its last plan is based on the newest allocations. After
-     * [attempts] conflicts with other routers, gives up.
+     * [attempts] conflicts with other routers, gives up. If the update [isClosing] a grant because the process ends,
+     * this and all later pauses after conflicts are short.
      */
-    suspend fun update(attempts: Int = BudgetLedgers.MAXIMUM_ATTEMPTS, change: LedgerChange): LedgerUpdate {
+    suspend fun update(
+        attempts: Int = BudgetLedgers.MAXIMUM_ATTEMPTS,
+        isClosing: Boolean = false,
+        change: LedgerChange,
+    ): LedgerUpdate {
+        if (isClosing) closing.complete(Unit)
         val update = PendingUpdate(change, attempts)
         waiting += update
         try {
@@ -66,7 +84,8 @@
                 if (!isFresh) return updates.end(LedgerUpdate.Unread)
             }
             var planned = plan(updates, isFresh)
-            if (planned == null || (planned.isNotEmpty() && isContended && !isFresh)) {
+            val isReadFirst = !isFresh && isReadNeeded()
+            if (planned == null || (isReadFirst && planned.isNotEmpty())) {
                 isFresh = refresh()
                 if (!isFresh) return updates.end(LedgerUpdate.Unread)
                 planned = plan(updates, isFresh = true)
@@ -78,13 +97,23 @@
                 is StreamAppend.Rejected, is StreamAppend.Unknown ->
                     return updates.end(LedgerUpdate.Unconfirmed(append))
 
-                StreamAppend.Conflict, is StreamAppend.OutOfSequence ->
-                    delay(BudgetLedgers.conflictPauseMilliseconds(attempt, holderCount()))
+                StreamAppend.Conflict, is StreamAppend.OutOfSequence -> pauseAfterConflict(attempt)
             }
         }
         updates.end(LedgerUpdate.Conflicting)
     }
 
+    private fun isReadNeeded(): Boolean = isContended ?: isLargeFleet()
+
+    private suspend fun pauseAfterConflict(attempt: Int) {
+        if (closing.isCompleted) {
+            delay(BudgetLedgers.conflictPauseMilliseconds(attempt, holders = 1))
+        } else {
+            val pause = BudgetLedgers.conflictPauseMilliseconds(attempt, holderCount())
+            withTimeoutOrNull(pause) { closing.await() }
+        }
+    }
+
     private fun List<PendingUpdate>.end(outcome: LedgerUpdate): Unit = forEach { it.outcome = it.outcome ?: outcome }
 
     /** Returns the allocations that [updates] store together, or null if one of them requires a read before. */
@@ -108,7 +137,7 @@
         when (read) {
             is StreamRead.Records -> {
                 read.records.forEach { apply(it) }
-                isContended = read.nextOffset != knownOffset
+                if (knownOffset != null) isContended = read.nextOffset != knownOffset
                 nextOffset = read.nextOffset
                 isCurrent = true
             }
@@ -137,7 +166,7 @@
             nextOffset = append.endOffset
             isCurrent = true
         } else {
-            isContended = isContended || append is StreamAppend.Conflict
+            if (append is StreamAppend.Conflict) isContended = true
         }
         return append
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.state
 
 import org.heatherwind.core.escrow.BudgetAllocation
+import org.heatherwind.core.escrow.RemainingBudget
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
 import org.heatherwind.core.identity.InstanceId
@@ -70,6 +71,15 @@
             return possible
         }
 
+    /** Whether so many routers are live that their updates of the store often meet. */
+    val isLargeFleet: Boolean get() = liveCount() > RemainingBudget.SMALL_FLEET_ROUTERS
+
+    /** Whether another router has reported so often that the routers of its fleet know each other. */
+    val isFleetRunning: Boolean
+        get() = latestByInstance.any { (instance, received) ->
+            instance != self.instance && received.report.sequence >= REPORTS_OF_RUNNING_FLEET
+        }
+
     /** Whether the other routers that read reports know this one, as a report of it or a predecessor is old enough. */
     val isKnownToOthers: Boolean get() = clock.now() >= knownToOthersAt
 
@@ -198,6 +208,9 @@
         /** Short in comparison with the liveness timeout; every request needs the count several times. */
         const val LIVE_COUNT_MILLISECONDS = 100L
 
+        /** Takes longer than the routers of a small fleet need to read each other's first reports. */
+        const val REPORTS_OF_RUNNING_FLEET = 12L
+
         /** More than twice the time in which a router of a large fleet reads the reports of all. */
         const val LEARNING_MILLISECONDS = 10_000L
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorCharges.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PredecessorCharges.kt
@@ -32,16 +32,22 @@
      * the elapsed time, or up to the ceilings that its witness stored. Without a response from the witness, the upper
      * bound is the highest ceiling that the witness may have stored. If the elapsed time is negative, the wall clock
      * was set back, and there is no upper bound. A clock that was set back by less is noticed where another router
-     * reported later, at [latestReportAt]: the larger elapsed time counts.
+     * reported later, at [latestReportAt]: the larger elapsed time counts. That report may have been sent up to
+     * [sinceStartMilliseconds] after the start of this process, which are not the predecessor's.
      */
-    suspend fun recordFinalReport(report: RouterReport, latestReportAt: Timestamp? = null) {
+    suspend fun recordFinalReport(
+        report: RouterReport,
+        latestReportAt: Timestamp? = null,
+        sinceStartMilliseconds: Long = 0,
+    ) {
         if (report.incarnation == self.value) return
         val reportedAt = Timestamp(report.epochMilliseconds)
         val ownMilliseconds = startedAt.millisecondsSince(reportedAt)
         val elapsedMilliseconds = if (ownMilliseconds < 0) {
             ownMilliseconds
         } else {
-            maxOf(ownMilliseconds, latestReportAt?.millisecondsSince(reportedAt) ?: 0)
+            val silentToOthers = latestReportAt?.millisecondsSince(reportedAt) ?: 0
+            maxOf(ownMilliseconds, silentToOthers - sinceStartMilliseconds)
         }
         val isWitnessPossible = elapsedMilliseconds < 0 ||
             elapsedMilliseconds > SpendCeiling.WITNESS_MILLISECONDS - CLOCK_MARGIN_MILLISECONDS
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
@@ -266,7 +266,10 @@
         if (outcome !is StreamAppend.Appended || !readAll()) return false
         epoch = nextEpoch
         sequence = 0
-        peerReports.latestOfThisInstance?.let { predecessorCharges.recordFinalReport(it, peerReports.latestTimestamp) }
+        // The others' newest reports may be an interval old, so as much is not deducted.
+        val sinceStart = (clock.now().millisecondsSince(startedAt) - intervalMilliseconds()).coerceAtLeast(0)
+        peerReports.latestOfThisInstance
+            ?.let { predecessorCharges.recordFinalReport(it, peerReports.latestTimestamp, sinceStart) }
         isFenced = true
         log.stateChange(
             "reports",
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetManagerTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetManagerTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.heatherwind.core.fleet.Customer
@@ -24,6 +25,15 @@
             first.budgets?.returnAll()
             assertIs<BudgetDecision.Reserved>(second.reserve(30_000), "the first router returned 60,000 tokens")
         },
+        Case("a return that fails at first is repeated until the grant is closed") { first, second ->
+            assertIs<BudgetDecision.Reserved>(first.reserve(60_000)).reservation.end()
+            first.setDisconnected(true)
+            launch { first.budgets?.returnAll() }
+            delay(1_200)
+            first.setDisconnected(false)
+            delay(1_200)
+            assertIs<BudgetDecision.Reserved>(second.reserve(90_000), "the first router returned 60,000 tokens")
+        },
         Case("the charges of a killed process are not counted twice after its grant was closed") { first, second ->
             reserveAndCharge(first, 50_000)
             assertIs<BudgetDecision.Reserved>(second.reserve(1_000)).reservation.end()
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
@@ -74,7 +74,6 @@
         val startedAt = wallClock()
         val self = Incarnation.of(InstanceId(name), startedAt)
         val ownStore = newStore()
-        ownStore.isDisconnected = isDisconnected
         val countedStore = countCalls(ownStore)
         val log = DecisionLog(clock, GatewayMetrics())
         val witnesses = PeerWitnesses()
@@ -92,7 +91,7 @@
             peerAddress = InetSocketAddress.createUnresolved(name, 1),
             witnesses = witnesses,
         )
-        val ledgers = BudgetLedgers(countedStore, partitions)
+        val ledgers = BudgetLedgers(countedStore, partitions) { peerReports.isLargeFleet }
         val policy = GrantPolicy()
         val fleetBudgets = FleetBudgetView(peerReports, ::customerOf)
         val manager = BudgetManager(
@@ -135,7 +134,7 @@
         test.backgroundScope,
         faultProbability,
         maximumAnswerDelayMilliseconds,
-    )
+    ).also { it.isDisconnected = isDisconnected }
 
     private suspend fun runMaintenance(manager: BudgetManager) {
         while (true) {
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/FleetStartTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/FleetStartTest.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import org.heatherwind.core.escrow.GrantPolicy
 import org.heatherwind.core.fleet.Customer
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.gateway.store.CountingRecordStore
@@ -30,23 +31,47 @@
             routers.forEach { it.start() }
             delay(IDLE_MILLISECONDS)
             assertCalls("the start")
+            routers.forEach { assertInitialGrants(it, "the start") }
             routers.forEach { it.kill() }
             delay(OFF_MILLISECONDS)
             routers.forEach { it.start() }
             delay(IDLE_MILLISECONDS)
             assertCalls("the restart")
+            routers.forEach { assertInitialGrants(it, "the restart") }
         } finally {
             routers.forEach { it.kill() }
         }
     }
 
-    private fun TestScope.newRouter(records: MemoryRecords, index: Int) = BudgetRouter(
+    /** Pattern: a router is added to a running fleet, and callers come soon. */
+    @Test
+    fun `given a running fleet when a router joins then it has its initial grants within two seconds`() = runTest {
+        val records = MemoryRecords()
+        val routers = List(SMALL_FLEET) { newRouter(records, it, partitions = 2) }
+        try {
+            routers.drop(1).forEach { it.start() }
+            delay(IDLE_MILLISECONDS)
+            routers.first().start()
+            delay(JOINING_MILLISECONDS)
+            assertInitialGrants(routers.first(), "joining")
+        } finally {
+            routers.forEach { it.kill() }
+        }
+    }
+
+    private fun assertInitialGrants(router: BudgetRouter, event: String) {
+        val held = router.budgets?.currentReports().orEmpty().filterValues { it.availableTokens > 0 }.keys
+        val initial = GrantPolicy().initialGrantCustomers(customers, ROUTERS).map { it.id }
+        assertTrue(held.containsAll(initial), "$event: no grants of ${initial - held}")
+    }
+
+    private fun TestScope.newRouter(records: MemoryRecords, index: Int, partitions: Int = PARTITIONS) = BudgetRouter(
         name = "router-$index",
         test = this,
         records = records,
         customers = customers,
         random = Random(SEED + index),
-        partitions = PARTITIONS,
+        partitions = partitions,
         countCalls = ::counted,
     )
 
@@ -74,6 +99,8 @@
         const val SEED = 83
         const val ROUTERS = 83
         const val PARTITIONS = 24
+        const val SMALL_FLEET = 3
+        const val JOINING_MILLISECONDS = 2_000L
         const val OFF_MILLISECONDS = 2_500L
 
         /** Time from the start of the routers to the first request. */
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/PredecessorChargesTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/PredecessorChargesTest.kt
@@ -23,6 +23,7 @@
         val witnessed: Map<String, Long>? = null,
         val hasWitness: Boolean = true,
         val latestReportMilliseconds: Long? = null,
+        val sinceStartMilliseconds: Long = 0,
         val atMost: Long,
     )
 
@@ -49,6 +50,14 @@
             latestReportMilliseconds = 4_000,
             atMost = 5_475,
         ),
+        Case(
+            "others reported 3 s after this process started: that time is not the predecessor's",
+            elapsedMilliseconds = 500,
+            hasWitness = false,
+            latestReportMilliseconds = 3_500,
+            sinceStartMilliseconds = 3_000,
+            atMost = 2_000,
+        ),
         Case("a long time since the last report, no witness", 4_000, hasWitness = false, atMost = 5_475),
     )
 
@@ -67,6 +76,7 @@
                     predecessorCharges.recordFinalReport(
                         report = reportOf(case),
                         latestReportAt = case.latestReportMilliseconds?.let { Timestamp(REPORTED_AT + it) },
+                        sinceStartMilliseconds = case.sinceStartMilliseconds,
                     )
                     val expected = mapOf(CustomerId("studio") to HolderCharge(atLeast = 1_000, atMost = case.atMost))
                     assertEquals(expected, predecessorCharges.charges[Incarnation(PREDECESSOR)])
