--- a/gateway/src/main/kotlin/org/heatherwind/gateway/store/StoreCallCounter.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/store/StoreCallCounter.kt
@@ -5,6 +5,7 @@
 import org.heatherwind.gateway.state.ReportPublisher
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.GatewayMetrics
+import java.util.TreeMap
 
 /** Counts this router's calls to the store in [metrics], and logs them at times. Confined to the event loop. */
 internal class StoreCallCounter(
@@ -12,7 +13,7 @@
     private val metrics: GatewayMetrics,
     private val log: DecisionLog,
 ) {
-    private val calls = java.util.TreeMap<String, Int>()
+    private val calls = TreeMap<String, Int>()
     private var nextLogAt = MonotonicTime.distantPast
 
     /** Returns [store] with its calls counted. */
