Weigh lateness and draw reluctance only where they answer a load

Change: lateness counts among targets that state their speed, and reluctance is drawn in fleets of more than 10 routers.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetSpeed.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetSpeed.kt
@@ -12,6 +12,9 @@
     private var mean = 1.0
     private var reportedAt = MonotonicTime.distantPast
 
+    /** Whether the target has ever stated its speed. */
+    public val isStated: Boolean get() = reportedAt != MonotonicTime.distantPast
+
     /** Records that the target stated at [now] that work takes [slowdown] times as long as usual. */
     public fun recordReport(slowdown: Double, now: MonotonicTime) {
         if (!slowdown.isFinite() || slowdown <= 0) return
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -81,6 +81,7 @@
 import org.heatherwind.gateway.telemetry.GatewayMetrics
 import org.heatherwind.gateway.telemetry.loggingFailures
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.random.Random
 
 /**
  * One router process. All work runs on one event loop, so that state needs no locks.
@@ -113,7 +114,7 @@
         isKnownToOthers = { peerReports.isKnownToOthers },
         coldCeilingOf = { coldCeilingOf(it) },
     )
-    private val state: FleetState = FleetState { paces.sharingOf(it) }
+    private val state: FleetState = FleetState(::drawReluctance) { paces.sharingOf(it) }
     private val storeCalls = StoreCallCounter(documents, metrics, log)
     private val store = storeCalls.counted(store)
     private val stopped = CompletableDeferred<Unit>()
@@ -381,6 +382,10 @@
 
     private fun readiness(): SimpleResponse = SimpleResponse(if (isReady()) OK else UNAVAILABLE, ByteArray(0))
 
+    /** The routers of a small fleet know of each other's long prompts, so they need not spread at random. */
+    private fun drawReluctance(): Double =
+        if (peerReports.liveCount() > LARGEST_SMALL_FLEET) Random.nextDouble() else 0.0
+
     private fun coldCeilingOf(service: ServiceId): ColdCeiling? = state.routes?.plan?.services?.get(service)
         ?.coldRequestsPerSecond?.let { ColdCeiling(it, settings.coldOverage, settings.coldSlack) }
 
@@ -430,6 +435,9 @@
         const val MILLISECONDS_PER_SECOND = 1_000.0
         const val BYTES_PER_MEGABYTE = 1_048_576L
 
+        /** In larger fleets, budgets and choices allow for views that are seconds old. */
+        const val LARGEST_SMALL_FLEET = 10
+
         /** Request bodies may use one eighth of the process's memory. */
         const val BODY_MEMORY_DIVISOR = 8
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -177,21 +177,33 @@
             connectionsPerTarget = connections.toInt().coerceAtLeast(MINIMUM_CONNECTIONS),
             now = context.clock.now(),
             isSharedCacheAssumed = isSharedCacheAssumed,
-            aims = aims(),
+            aims = aims(candidates),
         )
     }
 
-    private fun aims(): PlacementAims {
+    /**
+     * Lateness is weighed only among targets that state their speed. Predictions for others are too rough to leave the
+     * target that has the prompt's shared parts cached.
+     */
+    private fun aims(candidates: List<TargetLoad>): PlacementAims {
         val objective = work.route.latencyObjectiveMilliseconds
-        return PlacementAims(work.receivedAt.plusMilliseconds(objective), objective, context.dataCentre)
+        val isSpeedStated = candidates.any { it.speed.isStated }
+        return PlacementAims(
+            firstEventDue = if (isSpeedStated) work.receivedAt.plusMilliseconds(objective) else null,
+            objectiveMilliseconds = objective,
+            dataCentre = context.dataCentre,
+        )
     }
 
+    private fun isElsewhere(placement: Placement): Boolean =
+        context.dataCentre != null && placement.target.entry.dataCentre != context.dataCentre
+
     private fun engineRanks(): List<Int> = context.state.routes?.plan?.engineRanks.orEmpty()
 
     private fun newAttempt(placement: Placement): TargetAttempt {
         triedTargets += placement.target.entry.id
         context.metrics.countSend(service.value, isFirst = sentAttempts == 0 && !progress.mayHaveRun)
-        if (aims().isElsewhere(placement.target)) context.metrics.countSendElsewhere(service.value)
+        if (isElsewhere(placement)) context.metrics.countSendElsewhere(service.value)
         logChoice(placement)
         work.tokens?.let { context.announcements.announce(placement, it) }
         return TargetAttempt(
@@ -255,7 +267,7 @@
         "openRequests" to placement.target.inFlightRequests,
         "pace" to placement.target.latencyRatio(context.clock.now()),
         "predictedMilliseconds" to placement.predictedMilliseconds.toLong(),
-        "isElsewhere" to aims().isElsewhere(placement.target),
+        "isElsewhere" to isElsewhere(placement),
         "slowdown" to placement.target.speed.slowdown(context.clock.now()),
         "slowness" to placement.target.learnedSlowness.factor(context.clock.now()),
         "planVersion" to context.state.routes?.plan?.version,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -18,9 +18,13 @@
 /**
  * This router's state of the fleet: routes, targets and their load. Confined to the event loop.
  *
+ * @param drawReluctance draws a number from 0 to 1 for a target in one choice, see [TargetLoad]
  * @param paceSharingOf returns what the paces of a service's targets share
  */
-internal class FleetState(private val paceSharingOf: (ServiceId) -> PaceSharing = { PaceSharing() }) {
+internal class FleetState(
+    private val drawReluctance: () -> Double = Random.Default::nextDouble,
+    private val paceSharingOf: (ServiceId) -> PaceSharing = { PaceSharing() },
+) {
     private val loads = HashMap<TargetId, TargetLoad>()
 
     /** What is known of removed targets, which may come back; of the last ones only. */
@@ -81,7 +85,7 @@
             return
         }
         val history = historyOf(entry, existing)
-        val load = TargetLoad(entry, paceSharingOf(entry.service), Random.Default::nextDouble, history)
+        val load = TargetLoad(entry, paceSharingOf(entry.service), drawReluctance, history)
         causeOfReturn(entry, existing)?.let { load.pace.begin(it, now) }
         loads[entry.id] = load
     }
