--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -278,7 +278,12 @@
         scope.launch { rollouts.runStatusReads() }
         scope.launch { rollouts.runDecisions() }
         scope.launch { runMaintenance() }
-        log.process("Started.", "incarnation" to self.value, "callers" to callerAddress.toString())
+        log.process(
+            "Started.",
+            "incarnation" to self.value,
+            "callers" to callerAddress.toString(),
+            "heapBytes" to Runtime.getRuntime().maxMemory(),
+        )
         return BoundAddresses(callerAddress, readinessAddress, metricsAddress)
     }
 
