Learn a target's general speed only where it states its present one

Engines of one speed that differ from the prediction were learned as slow by the routers that prefer them, which then left them for targets that they did not know. Change: without a stated speed nothing is learned beyond the recent ratio, which counts as before.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -163,13 +163,16 @@
             // counts once.
             val usual = request.expectedMilliseconds * (request.slowdown + speed.slowdown(now)) / 2
             latencyRatioEstimate.observe(usual * request.slowness, actual, now)
-            if (isSettled(now) && request.sentAt >= coldUntil) learnedSlowness.observe(usual, actual, now)
+            if (isSlownessLearned(now) && request.sentAt >= coldUntil) learnedSlowness.observe(usual, actual, now)
             pace.recordAnswer(request, actual, now, usual * request.slowness)
         }
     }
 
+    /** Returns whether answers at [now] show the general speed of a target that states its present one. */
+    public fun isSlownessLearned(now: MonotonicTime): Boolean = speed.isStated && isSettled(now)
+
     /** Returns whether the target is at [now] as fast as it is in general: neither cold nor just returned. */
-    public fun isSettled(now: MonotonicTime): Boolean = !pace.isLimited && now >= coldUntil
+    private fun isSettled(now: MonotonicTime): Boolean = !pace.isLimited && now >= coldUntil
 
     /** Records that [request] ended, with or without success. */
     public fun recordEnded(request: InFlightRequest) {
@@ -195,8 +198,13 @@
     }
 
     /** Returns the time to the first event at the target's present speed; [expectedMilliseconds] at the usual one. */
-    public fun predictedMilliseconds(expectedMilliseconds: Double, now: MonotonicTime): Double =
-        latencyRatioEstimate.predict(expectedMilliseconds * speed.slowdown(now) * learnedSlowness.factor(now), now)
+    public fun predictedMilliseconds(expectedMilliseconds: Double, now: MonotonicTime): Double {
+        if (!speed.isStated) return expectedMilliseconds * latencyRatio(now)
+        return latencyRatioEstimate.predict(
+            expectedMilliseconds * speed.slowdown(now) * learnedSlowness.factor(now),
+            now,
+        )
+    }
 
     /** Returns the recent ratio of the actual to the predicted time to the first event. */
     public fun latencyRatio(now: MonotonicTime): Double = latencyRatioEstimate.ratioAt(now)
--- a/core/src/test/kotlin/org/heatherwind/core/placement/ToyTarget.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/placement/ToyTarget.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.core.placement
 
 import org.heatherwind.core.identity.DataCentreId
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.target.TargetEntry
@@ -51,7 +52,8 @@
                 slots = slots,
                 isDraining = false,
             )
-            TargetLoad(entry, drawReluctance = reluctance)
+            // Only for targets that state their speed, routers learn how fast they are.
+            TargetLoad(entry, drawReluctance = reluctance).apply { speed.recordReport(1.0, MonotonicTime(0)) }
         }
     }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
@@ -65,7 +65,7 @@
     }
 
     private fun recordSpeed(statement: SpeedStatement, sender: InetSocketAddress) {
-        val load = loadOf(statement.target) ?: return
+        val load = loadOf(statement.target)?.takeIf { it.speed.isStated } ?: return
         load.learnedSlowness.recordStated(statement.slownessPercent / PERCENT, sender.toString(), clock.now())
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/SpeedStatement.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/SpeedStatement.kt
@@ -22,7 +22,7 @@
 
         /** Returns what this router states of [target] at [now], or null if it knows too little. */
         fun of(target: TargetLoad, now: MonotonicTime): SpeedStatement? =
-            target.learnedSlowness.ownFactor(now)?.takeIf { target.isSettled(now) }
+            target.learnedSlowness.ownFactor(now)?.takeIf { target.isSlownessLearned(now) }
                 ?.let { SpeedStatement(target.entry.id, (it * PERCENT).roundToLong()) }
 
         /** Returns the statement that [announcement] is, or null if it announces a prompt. */
