Hold back for pace only in fleets of more than 10 routers

Change: in small fleets the choice by cost finds a target's pace, as before; the ceiling of cold targets holds in all. A statement of speed needs a stated one.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/PaceSharing.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/PaceSharing.kt
@@ -21,6 +21,7 @@
  * @param routers returns the routers that may send requests, the same set until it changes, or null if none are known
  * @param coldCeiling returns what a cold target of the service may get, or null if that is not limited
  * @param isKnownToOthers returns whether the other routers know this one; until then it sends nothing to cold targets
+ * @param isFleetLarge returns whether so many routers send that each knows little of what the others send
  * @param onChange receives each change of a pace
  */
 public class PaceSharing(
@@ -28,6 +29,7 @@
     private val routers: () -> Set<InstanceId>? = { null },
     private val coldCeiling: () -> ColdCeiling? = { null },
     internal val isKnownToOthers: () -> Boolean = { true },
+    internal val isFleetLarge: () -> Boolean = { true },
     private val onChange: (PaceChange) -> Unit = {},
 ) {
     private val sendRate = DecayingRate(MonotonicTime.distantPast, SEND_RATE_HALF_LIFE_MILLISECONDS)
--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetPace.kt
@@ -60,7 +60,7 @@
 
     /** Returns whether the target should get another request at [now], beside [inFlight] requests of this router. */
     public fun isOpen(inFlight: Int, now: MonotonicTime): Boolean {
-        val cause = cause ?: return true
+        val cause = cause?.takeIf { sharing.isFleetLarge() } ?: return true
         val isTurn = !cause.isCommon || isCold || hasAnswered || isTurn(currentPlace()?.position ?: 0, now)
         val isOpen = isTurn && inFlight < floor(minOf(window, usefulWindow()))
         if (!isOpen) sharing.recordPassedOver()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetPaces.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetPaces.kt
@@ -29,9 +29,11 @@
 
     /** Returns what the paces of the targets of [service] share. */
     fun sharingOf(service: ServiceId): PaceSharing = sharings.getOrPut(service) {
-        PaceSharing(self, routers, { coldCeilingOf(service) }, isKnownToOthers, ::logChange)
+        PaceSharing(self, routers, { coldCeilingOf(service) }, isKnownToOthers, ::isFleetLarge, ::logChange)
     }
 
+    private fun isFleetLarge(): Boolean = routers().orEmpty().size > LARGEST_SMALL_FLEET
+
     private fun logChange(change: PaceChange): Unit = log.stateChange(
         "targets",
         when (change.kind) {
@@ -47,4 +49,9 @@
         "latencyRatio" to change.latencyRatio,
         "ageMilliseconds" to change.ageMilliseconds,
     )
+
+    private companion object {
+        /** Each router of a small fleet knows most of what a target gets, and the choice by cost finds its pace. */
+        const val LARGEST_SMALL_FLEET = 10
+    }
 }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncementsTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncementsTest.kt
@@ -34,13 +34,19 @@
         }
     }
 
-    private class Statement(val name: String, val stated: Long?, val change: TargetLoad.() -> Unit)
+    private class Statement(
+        val name: String,
+        val stated: Long?,
+        val isSpeedStated: Boolean = true,
+        val change: TargetLoad.() -> Unit,
+    )
 
     // Guards against datagrams that routers of the version before drop during a rolling update.
     @TestFactory
     fun `a statement of speed has a form that the version before ignores`(): List<DynamicTest> = listOf(
         Statement("nothing learned", stated = null) {},
         Statement("a slow target", stated = 300) { learn() },
+        Statement("a slow target that does not state its speed", stated = null, isSpeedStated = false) { learn() },
         Statement("a slow target that is cold", stated = null) {
             learn()
             coldUntil = MonotonicTime(900)
@@ -51,7 +57,9 @@
         },
     ).map { case ->
         dynamicTest(case.name) {
-            val load = TargetLoad(entry).apply(case.change)
+            val load = TargetLoad(entry)
+            if (case.isSpeedStated) load.speed.recordReport(1.0, NOW)
+            load.apply(case.change)
             val placement = Placement(load, 6_000, prefillMilliseconds = 70.0, expectedMilliseconds = 70.0)
             val texts = PlacementAnnouncements.encode(placement, TokenDemand(prompt = 6_000, maximumOutput = 300), NOW)
             texts.forEach { assertEquals(OLD_FIELDS, Json.parseToJsonElement(it).jsonObject.keys) }
