--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -168,11 +168,11 @@
         }
     }
 
-    /** Returns whether answers at [now] show the general speed of a target that states its present one. */
-    public fun isSlownessLearned(now: MonotonicTime): Boolean = speed.isStated && isSettled(now)
-
-    /** Returns whether the target is at [now] as fast as it is in general: neither cold nor just returned. */
-    private fun isSettled(now: MonotonicTime): Boolean = !pace.isLimited && now >= coldUntil
+    /**
+     * Returns whether answers at [now] show the general speed of the target: it states its present one, and is neither
+     * cold nor just returned.
+     */
+    public fun isSlownessLearned(now: MonotonicTime): Boolean = speed.isStated && !pace.isLimited && now >= coldUntil
 
     /** Records that [request] ended, with or without success. */
     public fun recordEnded(request: InFlightRequest) {
