Compute how long a target takes for its work in one place

Cause: the product of the stated slowdown and the learned slowness stood three times, and was computed up to three times for each target in each choice, with some ten exponentials each, also for targets that state no speed and for no backlog. The slots of a pace were set twice at the start. Change: timeFactor, which is 1 without a stated speed; nothing is computed for an empty backlog; a pace gets its slots once.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/TargetLoad.kt
@@ -27,8 +27,8 @@
 
     /** Limits what the target gets while it has just started or recovered. */
     public val pace: TargetPace =
-        history?.pace?.takeIf { history.entry.service == entry.service }
-            ?: TargetPace(entry.id, { entry.slots }, paceSharing)
+        history?.pace?.takeIf { history.entry.service == entry.service }?.also { it.useSlots { slots } }
+            ?: TargetPace(entry.id, { slots }, paceSharing)
 
     /** How fast the target works at present, from its own reports. */
     public val speed: TargetSpeed = TargetSpeed()
@@ -139,17 +139,19 @@
 
     /** Returns the predicted milliseconds until the prefill of all prompts known to be at the target is done. */
     public fun backlogMilliseconds(now: MonotonicTime): Double {
-        val oldest = awaitingFirstEvent.firstOrNull()
-        val ownBacklog = if (oldest == null) 0.0 else pendingPrefillMilliseconds - doneSince(oldest.sentAt, now)
+        val ownBacklog = awaitingFirstEvent.firstOrNull()
+            ?.let { pendingPrefillMilliseconds - now.millisecondsSince(it.sentAt) / timeFactor(now) } ?: 0.0
         return ownBacklog.coerceAtLeast(0.0) + announcedBacklogMilliseconds(now)
     }
 
-    private fun announcedBacklogMilliseconds(now: MonotonicTime): Double =
-        (announcedMilliseconds - doneSince(announcedAt, now)).coerceAtLeast(0.0)
+    private fun announcedBacklogMilliseconds(now: MonotonicTime): Double {
+        if (announcedMilliseconds == 0.0) return 0.0
+        return (announcedMilliseconds - now.millisecondsSince(announcedAt) / timeFactor(now)).coerceAtLeast(0.0)
+    }
 
-    /** Returns the milliseconds that a target of usual speed takes for the work of this one from [start] to [now]. */
-    private fun doneSince(start: MonotonicTime, now: MonotonicTime): Double =
-        now.millisecondsSince(start) / (speed.slowdown(now) * learnedSlowness.factor(now))
+    /** Returns how many times as long as a target of usual speed this one takes for its work at [now]. */
+    private fun timeFactor(now: MonotonicTime): Double =
+        if (speed.isStated) speed.slowdown(now) * learnedSlowness.factor(now) else 1.0
 
     /** Records the first event of [request] at [now], or, if [now] is null, that none will come. */
     public fun recordFirstEvent(request: InFlightRequest, now: MonotonicTime?) {
@@ -200,10 +202,7 @@
     /** Returns the time to the first event at the target's present speed; [expectedMilliseconds] at the usual one. */
     public fun predictedMilliseconds(expectedMilliseconds: Double, now: MonotonicTime): Double {
         if (!speed.isStated) return expectedMilliseconds * latencyRatio(now)
-        return latencyRatioEstimate.predict(
-            expectedMilliseconds * speed.slowdown(now) * learnedSlowness.factor(now),
-            now,
-        )
+        return latencyRatioEstimate.predict(expectedMilliseconds * timeFactor(now), now)
     }
 
     /** Returns the recent ratio of the actual to the predicted time to the first event. */
@@ -254,10 +253,6 @@
     public fun hasCacheCapacityFor(demand: TokenDemand, engine: EngineProfile): Boolean =
         occupiedTokens + demand.worstCaseTokens <= engine.cacheCapacityTokens
 
-    init {
-        pace.useSlots { slots }
-    }
-
     private companion object {
         /** Half of the cache capacity of a supported engine. */
         const val PREFIX_CACHE_CAPACITY_TOKENS = 250_000L
