Name the size of a small fleet once

Cause: ten routers stood as a constant in four places. Change: RemainingBudget.SMALL_FLEET_ROUTERS and PeerReports.isLargeFleet serve all.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/GrantPolicy.kt
@@ -154,7 +154,10 @@
      * part is in comparison with a large request, which then takes its tokens from this share.
      */
     private fun undividedShare(holders: Int): Double =
-        ((holders - UNDIVIDED_FROM_HOLDERS) * UNDIVIDED_SHARE_PER_HOLDER).coerceIn(0.0, MAXIMUM_UNDIVIDED_SHARE)
+        ((holders - RemainingBudget.SMALL_FLEET_ROUTERS) * UNDIVIDED_SHARE_PER_HOLDER).coerceIn(
+            0.0,
+            MAXIMUM_UNDIVIDED_SHARE,
+        )
 
     /** Returns whether [holding] should request more tokens now, before it runs out. */
     public fun isRefillDue(
@@ -246,9 +249,6 @@
         /** While this share of the remaining tokens is free, a router that needs more can be granted them. */
         private const val AMPLE_FREE_SHARE = 0.15
 
-        /** In a fleet of up to ten, the parts are as large as any request. */
-        private const val UNDIVIDED_FROM_HOLDERS = 10
-
         /** Leaves a few large requests of the last tokens in a fleet of eighty. */
         private const val UNDIVIDED_SHARE_PER_HOLDER = 0.005
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -388,8 +388,7 @@
     private fun readiness(): SimpleResponse = SimpleResponse(if (isReady()) OK else UNAVAILABLE, ByteArray(0))
 
     /** The routers of a small fleet know of each other's long prompts, so they need not spread at random. */
-    private fun drawReluctance(): Double =
-        if (peerReports.liveCount() > LARGEST_SMALL_FLEET) Random.nextDouble() else 0.0
+    private fun drawReluctance(): Double = if (peerReports.isLargeFleet) Random.nextDouble() else 0.0
 
     private fun coldCeilingOf(service: ServiceId): ColdCeiling? = state.routes?.plan?.services?.get(service)
         ?.coldRequestsPerSecond?.let { ColdCeiling(it, settings.coldOverage, settings.coldSlack) }
@@ -440,9 +439,6 @@
         const val MILLISECONDS_PER_SECOND = 1_000.0
         const val BYTES_PER_MEGABYTE = 1_048_576L
 
-        /** In larger fleets, budgets and choices allow for views that are seconds old. */
-        const val LARGEST_SMALL_FLEET = 10
-
         /** Request bodies may use one eighth of the process's memory. */
         const val BODY_MEMORY_DIVISOR = 8
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetPaces.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetPaces.kt
@@ -1,5 +1,6 @@
 package org.heatherwind.gateway.state
 
+import org.heatherwind.core.escrow.RemainingBudget
 import org.heatherwind.core.identity.InstanceId
 import org.heatherwind.core.identity.ServiceId
 import org.heatherwind.core.placement.ColdCeiling
@@ -32,7 +33,8 @@
         PaceSharing(self, routers, { coldCeilingOf(service) }, isKnownToOthers, ::isFleetLarge, ::logChange)
     }
 
-    private fun isFleetLarge(): Boolean = routers().orEmpty().size > LARGEST_SMALL_FLEET
+    /** Each router of a small fleet knows most of what a target gets, and the choice by cost finds its pace. */
+    private fun isFleetLarge(): Boolean = routers().orEmpty().size > RemainingBudget.SMALL_FLEET_ROUTERS
 
     private fun logChange(change: PaceChange): Unit = log.stateChange(
         "targets",
@@ -49,9 +51,4 @@
         "latencyRatio" to change.latencyRatio,
         "ageMilliseconds" to change.ageMilliseconds,
     )
-
-    private companion object {
-        /** Each router of a small fleet knows most of what a target gets, and the choice by cost finds its pace. */
-        const val LARGEST_SMALL_FLEET = 10
-    }
 }
