Call the checks that exist instead of writing them again

Cause: whether a target is in another data centre, and the age of a report, were each written twice; the formatter had torn a condition apart. Change: PlacementAims.isElsewhere, PeerReports.ageMilliseconds, and plain conditions.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -196,7 +196,7 @@
     }
 
     private fun isElsewhere(placement: Placement): Boolean =
-        context.dataCentre != null && placement.target.entry.dataCentre != context.dataCentre
+        PlacementAims(dataCentre = context.dataCentre).isElsewhere(placement.target)
 
     private fun engineRanks(): List<Int> = context.state.routes?.plan?.engineRanks.orEmpty()
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetNotices.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetNotices.kt
@@ -31,11 +31,8 @@
     }
 
     private fun recordCold(target: TargetLoad, milliseconds: Long) {
-        if (milliseconds in
-            TargetEntry.COLD_MILLISECONDS
-        ) {
-            return target.coldStatements.record(milliseconds, clock.now())
-        }
+        val isValid = milliseconds in TargetEntry.COLD_MILLISECONDS
+        if (isValid) return target.coldStatements.record(milliseconds, clock.now())
         log.stateChange(
             SUBJECT,
             "Ignored an invalid cold time of a target.",
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -165,8 +165,8 @@
             allocations += updated
             nextOffset = append.endOffset
             isCurrent = true
-        } else {
-            if (append is StreamAppend.Conflict) isContended = true
+        } else if (append is StreamAppend.Conflict) {
+            isContended = true
         }
         return append
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -123,11 +123,13 @@
         .filter { it.report.incarnation != self.value && !it.report.isDraining }
         .mapNotNull { it.peerAddress }
 
-    private fun isFresh(received: ReceivedReport): Boolean =
-        minOf(clock.now(), lastReadAt).millisecondsSince(received.receivedAt) < LIVENESS_TIMEOUT_MILLISECONDS
+    private fun isFresh(received: ReceivedReport): Boolean = ageMilliseconds(received) < LIVENESS_TIMEOUT_MILLISECONDS
 
-    private fun wasHeardOf(received: ReceivedReport): Boolean =
-        minOf(clock.now(), lastReadAt).millisecondsSince(received.receivedAt) < FORGETTING_MILLISECONDS
+    private fun wasHeardOf(received: ReceivedReport): Boolean = ageMilliseconds(received) < FORGETTING_MILLISECONDS
+
+    /** Returns the age of [received], less the time in which this router could not read the store. */
+    private fun ageMilliseconds(received: ReceivedReport): Long =
+        minOf(clock.now(), lastReadAt).millisecondsSince(received.receivedAt)
 
     /**
      * Returns the witness for this router's ceilings: [current] while it is live, otherwise the next live router in the
