--- a/gateway/src/test/kotlin/org/heatherwind/gateway/rollout/EvacuatedVersionsTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/rollout/EvacuatedVersionsTest.kt
@@ -51,12 +51,12 @@
         cases.map { case ->
             DynamicTest.dynamicTest(case.name) {
                 val state = FleetState()
-                val rollouts = rolloutsOf(state)
+                val rollouts = StillRollouts.of(state)
                 list(state, "old-a", "old-b")
                 rollouts.targetsOf(SERVICE)
                 list(state, "old-a", "old-b", "new-b", "new-c")
                 rollouts.targetsOf(SERVICE)
-                val evacuations = EvacuationSubscriber(state, TextDocuments, clock, log)
+                val evacuations = EvacuationSubscriber(state, TextDocuments, StillRollouts.clock, StillRollouts.log)
                 case.records.map { record(it, case.records.indexOf(it)) }.forEach {
                     evacuations.onRecords(listOf(it))
                     rollouts.orders.onRecords(listOf(it))
@@ -81,21 +81,6 @@
     private companion object {
         const val ORDER = "rollout/pool=new 100000"
         val SERVICE = ServiceId("pool")
-        val metrics = GatewayMetrics()
-        val clock = MonotonicClock { MonotonicTime(0) }
-        val log = DecisionLog(clock, metrics)
-
-        fun rolloutsOf(state: FleetState) = RolloutManager(
-            self = Incarnation("r-1"),
-            store = KeyedLogStandIn(Random(0)),
-            documents = TextDocuments,
-            state = state,
-            policy = RolloutPolicy(exposureLimit = 0.1),
-            clock = clock,
-            wallClock = { Timestamp(0) },
-            log = log,
-            metrics = metrics,
-        )
 
         fun entryOf(name: String) = TargetEntry(
             id = TargetId(name),
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/EvacuationHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/EvacuationHistoryTest.kt
@@ -11,6 +11,7 @@
 import org.heatherwind.core.rollout.RolloutPolicy
 import org.heatherwind.core.target.TargetEntry
 import org.heatherwind.gateway.rollout.RolloutManager
+import org.heatherwind.gateway.rollout.StillRollouts
 import org.heatherwind.gateway.rollout.TextDocuments
 import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.telemetry.DecisionLog
@@ -100,11 +101,13 @@
 
         private fun restart() {
             state = FleetState()
-            rollouts = rolloutsOf(state)
-            val subscribers = listOf(EvacuationSubscriber(state, TextDocuments, clock, quietLog), rollouts.orders)
+            rollouts = StillRollouts.of(state)
+            val clock = StillRollouts.clock
+            val log = StillRollouts.log
+            val evacuations = EvacuationSubscriber(state, TextDocuments, clock, log)
             val policy = PollingPolicy(waitMilliseconds = 0, pauseMilliseconds = 0, isSkippingReplaced = true)
-            val subscriber = read(CombinedSubscriber(subscribers))
-            follower = StreamFollower(store, TextDocuments.planPartition, { policy }, clock, quietLog, subscriber)
+            val subscriber = read(CombinedSubscriber(listOf(evacuations, rollouts.orders)))
+            follower = StreamFollower(store, TextDocuments.planPartition, { policy }, clock, log, subscriber)
             moveTargets()
             store.isReachable = true
             poll()
@@ -144,22 +147,5 @@
         const val TARGETS = 6
         val SERVICE = ServiceId("pool")
         val dataCentres = listOf("a", "b", "c")
-        val metrics = GatewayMetrics()
-
-        /** The clock stands still, so that the limit on log lines holds for all histories together. */
-        val clock = MonotonicClock { MonotonicTime(0) }
-        val quietLog = DecisionLog(clock, metrics)
-
-        fun rolloutsOf(state: FleetState) = RolloutManager(
-            self = Incarnation("r-1"),
-            store = KeyedLogStandIn(Random(0)),
-            documents = TextDocuments,
-            state = state,
-            policy = RolloutPolicy(exposureLimit = 0.1),
-            clock = clock,
-            wallClock = { Timestamp(0) },
-            log = quietLog,
-            metrics = metrics,
-        )
     }
 }
