--- a/review/fleet-2/Worker.java
+++ b/review/fleet-2/Worker.java
@@ -60,11 +60,17 @@
         daemon(() -> accept(listener));
     }
 
+    /** Writes the worker's entry, as it does every heartbeat. */
     synchronized void register(String state) {
+        store.put("keyed.servers", id, entry(state));
+    }
+
+    /** The worker's next entry. */
+    synchronized String entry(String state) {
         sequence++;
-        store.put("keyed.servers", id, "{\"service\":\"" + service + "\",\"address\":\"" + address()
-            + "\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":16,\"state\":\"" + state
-            + "\",\"cold_remaining_ms\":0,\"sequence\":" + sequence + ",\"born\":" + born + "}");
+        return "{\"service\":\"" + service + "\",\"address\":\"" + address() + "\",\"zone\":\"a\",\"version\":\"v1\","
+            + "\"slots\":16,\"state\":\"" + state + "\",\"cold_remaining_ms\":0,\"sequence\":" + sequence + ",\"born\":"
+            + born + "}";
     }
 
     /** Ends as a process that crashes: new connections are refused, open ones are reset. */
