--- a/review/fleet-2/Store.java
+++ b/review/fleet-2/Store.java
@@ -43,6 +43,9 @@
 
     private final HttpServer server;
     private final Map<String, Part> parts = new HashMap<>();
+    /** Whether no call gets an answer. */
+    volatile boolean down;
+
     private volatile Loss loss = (query, body) -> -1;
     private int writes;
     private int lostWrites;
@@ -89,6 +92,7 @@
 
     private void serve(HttpExchange exchange) throws IOException {
         byte[] body = exchange.getRequestBody().readAllBytes();
+        if (down) return;
         Map<String, String> query = new HashMap<>();
         String text = exchange.getRequestURI().getQuery();
         if (text != null) {
