--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Compiles the stand-ins and the scripts' programs in fleet-2/ into target/, with the JDK alone.
+# Builds the programs of cases 6 to 10 into target/, with the JDK alone; the stand-ins that they share are in review/6/.
 set -eu
 cd "$(dirname "$0")/.."
+rm -rf target/review-2
 mkdir -p target/review-2
-javac -d target/review-2 review/fleet-2/*.java
+javac -d target/review-2 review/6/*.java review/7/*.java review/8/*.java review/9/*.java review/10/*.java
