Order a target's entries by the target's own numbers

Cause: the store may store an entry seconds after it was written. TargetDirectory took the entry that arrived last for the newest, so one written as ready before the drain put the target back into use. The entry's number was parsed and dropped.

Change: entries are ordered by the start of the target's process, then by their number, for increments and whole lists, also after a removal, and for what they say of cold time. Older entries are ignored for 10 s, so that an odd entry shuts no target out for good. A heartbeat that changes nothing but the number no longer rebuilds the lists of candidates.

--- a/core/src/main/kotlin/org/heatherwind/core/target/TargetEntry.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/target/TargetEntry.kt
@@ -13,6 +13,7 @@
  * @property isDraining whether the target accepts no new requests
  * @property startedAtEpochMilliseconds start of the target's process, which has no state of earlier processes; null if
  *   the entry does not contain it
+ * @property sequence number of the entry among those of the target's process, which count up
  * @property coldMilliseconds how much longer the target stays cold, as of when it wrote the entry; 0 if it is warm
  */
 public data class TargetEntry(
@@ -25,6 +26,7 @@
     val slots: Int,
     val isDraining: Boolean,
     val startedAtEpochMilliseconds: Long? = null,
+    val sequence: Long = 0,
     val coldMilliseconds: Long = 0,
 ) {
     /** Returns whether [other] describes the same process at the same address. */
@@ -36,6 +38,9 @@
     public fun isSameLifeAs(other: TargetEntry): Boolean = id == other.id && startedAtEpochMilliseconds != null &&
         startedAtEpochMilliseconds == other.startedAtEpochMilliseconds
 
+    /** Returns whether [other] differs from this entry in more than its number. */
+    public fun isChangedBy(other: TargetEntry): Boolean = other.copy(sequence = sequence) != this
+
     public companion object {
         /** For how long a target may state to stay cold. A longer time is an error: targets warm up in seconds. */
         public val COLD_MILLISECONDS: LongRange = 0L..3_600_000L
--- a/core/src/test/kotlin/org/heatherwind/core/target/TargetDirectoryTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/target/TargetDirectoryTest.kt
@@ -37,6 +37,18 @@
                 .withContactRegained(MonotonicTime(100))
                 .without(TargetId("a"), MonotonicTime(200))
         },
+        // Guards against a store that shows older entries when it is reachable again.
+        Case("an older entry appears just after an outage", setOf("b")) {
+            it.with(entry("a", isDraining = true, sequence = 9), MonotonicTime(100))
+                .withContactRegained(MonotonicTime(20_000))
+                .withEntries(listOf(entry("a", sequence = 7), entry("b")), MonotonicTime(20_100))
+        },
+        Case("an entry appears again long after its removal", setOf("a", "b")) {
+            it.with(entry("a", sequence = 9), MonotonicTime(100))
+                .without(TargetId("a"), MonotonicTime(200))
+                .withoutExpiredRemovals(MonotonicTime(20_000))
+                .with(entry("a", sequence = 3), MonotonicTime(20_100))
+        },
         Case("the whole list is read again", setOf("c")) {
             it.withEntries(listOf(entry("c")), MonotonicTime(100))
         },
@@ -50,7 +62,7 @@
         }
     }
 
-    private fun entry(id: String, isDraining: Boolean = false) = TargetEntry(
+    private fun entry(id: String, isDraining: Boolean = false, sequence: Long = 0) = TargetEntry(
         id = TargetId(id),
         service = SERVICE,
         host = "127.0.0.1",
@@ -59,6 +71,8 @@
         version = "v1",
         slots = 4,
         isDraining = isDraining,
+        startedAtEpochMilliseconds = 1,
+        sequence = sequence,
     )
 
     private companion object {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -68,8 +68,9 @@
 
     /** Adopts [updated], read at [now], and discards the recorded load of targets that were removed or restarted. */
     fun adoptDirectory(updated: TargetDirectory, now: MonotonicTime = MonotonicTime.distantPast) {
-        if (updated === directory) return
+        val isUnchanged = updated.entries === directory.entries
         directory = updated
+        if (isUnchanged) return
         registered.clear()
         candidates.clear()
         loads.values.filter { it.entry.id !in updated.entries }
