Use no more of a grant than the store may hold for it

A router that had returned tokens without a response asked for some of them again, used these before the store confirmed it, and the store then carried out the return.

Cause: GrantUpdater assigned the usable grant in four places. The one that lowers it to a plan did not take the limit of an earlier update with an unknown outcome into account.

Change: UsableGrant in core.escrow holds the invariant alone: no more is usable than any value that the store may hold, or come to hold by an update whose outcome is unknown. A process that ends also closes a grant of which it only knows that it may be stored.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -7,9 +7,11 @@
  * it consumed, so no request starts on tokens that were not granted.
  */
 public class BudgetHolding(startedAt: MonotonicTime) {
-    /** Tokens granted to this process since its start. */
-    public var grantedTokens: Long = 0
-        private set
+    /** The grant of this process in the store. */
+    public val grant: UsableGrant = UsableGrant()
+
+    /** Tokens granted to this process since its start that it may use. */
+    public val grantedTokens: Long get() = grant.tokens
 
     /** Tokens charged since the start of this process, minus those transferred from other routers. */
     public var usedTokens: Long = 0
@@ -153,11 +155,6 @@
         reservedTokens -= tokens
     }
 
-    /** Sets the total grant of this process to [tokens]. */
-    public fun setGranted(tokens: Long) {
-        grantedTokens = tokens
-    }
-
     private class LargestRequest(val tokens: Long, val seenAt: MonotonicTime)
 
     private companion object {
--- a/core/src/test/kotlin/org/heatherwind/core/escrow/BudgetHoldingTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/escrow/BudgetHoldingTest.kt
@@ -94,4 +94,9 @@
         assertTrue(demandsOver15Seconds[0] > 30_000, "estimate too low for 9 holders: ${demandsOver15Seconds[0]}")
         assertTrue(demandsOver15Seconds[1] < 15_000, "estimate too high for 60 holders: ${demandsOver15Seconds[1]}")
     }
+
+    private fun BudgetHolding.setGranted(tokens: Long) {
+        grant.plan(stored = 0, planned = tokens)
+        grant.confirm()
+    }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetManager.kt
@@ -294,7 +294,7 @@
     /** Returns all tokens that are not committed, before the process ends. Repeats failed updates until cancelled. */
     suspend fun returnAll() {
         isShuttingDown = true
-        val grantedBudgets = budgets.values.filter { it.holding.grantedTokens != 0L }
+        val grantedBudgets = budgets.values.filter { it.holding.grant.isPossiblyHeld }
         grantedBudgets.forEach { it.isClosing = true }
         coroutineScope { grantedBudgets.map { async { close(it) } }.awaitAll() }
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/CustomerBudget.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/CustomerBudget.kt
@@ -44,9 +44,6 @@
     /** Whether the last read of the ledger succeeded. */
     var isLastReadSuccessful = false
 
-    /** Limit on the usable grant while the outcome of an update is unknown; otherwise [Long.MAX_VALUE]. */
-    var grantLimitTokens = Long.MAX_VALUE
-
     /** Makes the ceiling of the next report allow for a quota transfer of [tokens]. */
     fun requestCeiling(tokens: Long) {
         askedTokens = maxOf(askedTokens, tokens)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
@@ -3,6 +3,7 @@
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.escrow.GrantPolicy
 import org.heatherwind.core.escrow.HolderCharge
+import org.heatherwind.core.escrow.UsableGrant
 import org.heatherwind.core.fleet.Customer
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
@@ -35,17 +36,16 @@
         val update = budget.ledger.update(attempts, budget.isClosing) { allocations, isFresh ->
             if (isFresh) budget.isLastReadSuccessful = true
             planned = plan(budget, allocations.of(budget.id), neededTokens)
-            val isLimited = budget.grantLimitTokens < planned.before
+            val isUpdateNeeded = planned.after != planned.before || budget.holding.grant.isUncertain
             when {
-                planned.after != planned.before || isLimited -> LedgerPlan.Store(mapOf(budget.id to planned.allocation))
+                isUpdateNeeded -> LedgerPlan.Store(mapOf(budget.id to planned.allocation))
                 isFresh || !isReadDue(budget, neededTokens) -> LedgerPlan.Unchanged
                 else -> LedgerPlan.Read
             }
         }
+        recordOutcome(budget.holding.grant, update)
         return when (update) {
             LedgerUpdate.Stored -> {
-                budget.holding.setGranted(planned.after)
-                budget.grantLimitTokens = Long.MAX_VALUE
                 logUpdate(budget, planned)
                 GrantUpdateOutcome.UPDATED
             }
@@ -57,23 +57,28 @@
             LedgerUpdate.Conflicting ->
                 GrantUpdateOutcome.FAILED.also { budget.nextBackgroundUpdateAt = nextUpdateAt() }
 
-            is LedgerUpdate.Unconfirmed -> {
-                if (update.append is StreamAppend.Unknown) {
-                    limitUntilConfirmed(budget, minOf(planned.before, planned.after))
-                }
-                failUnconfirmed(budget, update.append)
-            }
+            is LedgerUpdate.Unconfirmed -> failUnconfirmed(budget, update.append)
         }
     }
 
-    /** Plans the grant of [budget] in [allocation]; the usable grant is lowered at once where the plan lowers it. */
-    private fun plan(budget: CustomerBudget, allocation: BudgetAllocation, neededTokens: Long): PlannedGrant {
+    private fun recordOutcome(grant: UsableGrant, update: LedgerUpdate): Unit = when (update) {
+        LedgerUpdate.Stored -> grant.confirm()
+
+        LedgerUpdate.Unchanged, LedgerUpdate.Unread, LedgerUpdate.Conflicting -> grant.withdraw()
+
+        is LedgerUpdate.Unconfirmed ->
+            if (update.append is StreamAppend.Unknown) grant.recordUnknown() else grant.withdraw()
+    }
+
+    /** Plans the grant of [budget] in [allocation], and limits what is usable of it until the outcome is known. */
+    private fun plan(budget: CustomerBudget, allocation: BudgetAllocation, neededTokens: Long): PlannedGrant =
+        planWithin(budget, allocation, neededTokens).also { budget.holding.grant.plan(it.before, it.after) }
+
+    private fun planWithin(budget: CustomerBudget, allocation: BudgetAllocation, neededTokens: Long): PlannedGrant {
         val before = allocation.grantOf(self)
-        budget.holding.setGranted(minOf(before, budget.grantLimitTokens))
         // An update whose outcome was unknown may have closed the grant; its charges count once.
         if (budget.isClosing && self !in allocation.grants) return PlannedGrant(before, before, allocation)
         val after = desiredGrant(budget, allocation, neededTokens)
-        if (after < before) budget.holding.setGranted(after)
         val updated = if (budget.isClosing) {
             allocation.withClosedGrant(self, HolderCharge.exactly(budget.holding.committedTokens))
         } else {
@@ -101,15 +106,6 @@
         return clock.now().plusMilliseconds((spread * Math.random()).toLong())
     }
 
-    /**
-     * Limits the usable grant to [tokens] until an update is confirmed, since the update whose outcome is unknown may
-     * still take effect.
-     */
-    private fun limitUntilConfirmed(budget: CustomerBudget, tokens: Long) {
-        budget.grantLimitTokens = minOf(budget.grantLimitTokens, tokens)
-        budget.holding.setGranted(budget.grantLimitTokens)
-    }
-
     private fun failUnconfirmed(budget: CustomerBudget, append: StreamAppend): GrantUpdateOutcome {
         log.stateChange(
             "budget",
