Refuse token counts that cannot be charged

A request whose counts could not be read was served without a charge.

Cause: counts were bounded below only, so their sum could be negative, which every budget covers. Unreadable counts were taken for none, as of a plain call.

--- a/core/src/main/kotlin/org/heatherwind/core/work/WorkRequest.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/work/WorkRequest.kt
@@ -48,6 +48,11 @@
 
     /** Largest number of tokens that the request may consume. */
     val worstCaseTokens: Long get() = prompt + maximumOutput
+
+    public companion object {
+        /** The token counts that a request may state. Sums of many of them are far from overflowing. */
+        public val COUNTS: LongRange = 0L..1_000_000_000L
+    }
 }
 
 /**
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/protocol/CallerProtocol.kt
@@ -7,12 +7,17 @@
 import org.heatherwind.core.identity.TargetId
 import org.heatherwind.core.work.TokenDemand
 
-/** The decoded fields of a caller's request head; null where a header is missing or invalid. */
+/**
+ * The decoded fields of a caller's request head; null where a header is missing or invalid.
+ *
+ * @property hasInvalidTokens whether the request states token counts that are out of range or no numbers
+ */
 public data class CallerRequestHead(
     val id: String?,
     val apiKey: String?,
     val timeoutMilliseconds: Long?,
     val tokens: TokenDemand?,
+    val hasInvalidTokens: Boolean = false,
 )
 
 /** The fields that the router adds to a request that it sends to a target. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Admission.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/Admission.kt
@@ -36,6 +36,7 @@
         val customer = head.apiKey?.let { table.customerOf(it) }
         ensure(route.isPublic || !hasCustomers(table) || head.apiKey != null) { RouterError(ResultCode.KEY_MISSING) }
         ensure(route.isPublic || !hasCustomers(table) || customer != null) { unknownError(ResultCode.KEY_NOT_ACCEPTED) }
+        ensure(!head.hasInvalidTokens) { RouterError(ResultCode.TOKEN_COUNT_OUT_OF_RANGE) }
         val timeout = minOf(head.timeoutMilliseconds ?: route.timeoutMilliseconds, route.timeoutMilliseconds)
         val deadline = received.receivedAt.plusMilliseconds(timeout)
         ensure(stopDeadline().let { it == null || deadline <= it }) {
