Suspect every part of a prompt of crashing targets

Cause: RequestKeys considered the first 64 parts of a prompt only, and CrashEvidence cut the keys of a crash twice more by position.

Change: all parts count. What is answered constantly is left out first; if more than 64 keys are left for a crash, evidence decides which. Notices and reports keep their bounds. Keys of parts are remembered (PartKeys). 16,384 answered keys are kept instead of 4,096, so that one long prompt does not replace what is known of all others; the test of the old bound now checks the new one, and that 4,096 keys at once replace nothing.

--- a/core/src/main/kotlin/org/heatherwind/core/crash/AnsweredKeys.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/crash/AnsweredKeys.kt
@@ -25,7 +25,8 @@
         answeredAt[key]?.let { time.millisecondsSince(it) < milliseconds } ?: false
 
     private companion object {
-        const val MAXIMUM_KEYS = 4_096
+        /** Several times the parts of the longest allowed prompt header, so that one request replaces few others'. */
+        const val MAXIMUM_KEYS = 16_384
         const val INITIAL_CAPACITY = 64
         const val LOAD_FACTOR = 0.75f
     }
--- a/core/src/test/kotlin/org/heatherwind/core/crash/CrashSuspectsTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/crash/CrashSuspectsTest.kt
@@ -181,7 +181,9 @@
                 suspects.isAnsweredConstantly(key, now.plusMilliseconds(it))
             },
         )
-        repeat(5_000) { suspects.recordAnswer(SuspectKey.ofPart("part $it"), now) }
+        repeat(4_096) { suspects.recordAnswer(SuspectKey.ofPart("part $it"), now) }
+        assertEquals(now, suspects.recentAnswerAt(key, now), "one prompt of many parts replaced it")
+        repeat(17_000) { suspects.recordAnswer(SuspectKey.ofPart("part $it"), now) }
         assertEquals(null, suspects.recentAnswerAt(key, now))
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashEvidence.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashEvidence.kt
@@ -24,18 +24,36 @@
 
     /**
      * Records that this router's requests with [keys] were waiting for the begin of their answers when the target
-     * process [process] crashed. Keys to which answers begin all the time are ignored. Returns the others.
+     * process [process] crashed. Keys to which answers begin all the time are ignored. Returns the others, at most the
+     * [MAXIMUM_KEYS_PER_CRASH] most suspicious ones, in the order of [keys].
      */
     fun recordOwnCrash(process: String, keys: List<SuspectKey>): List<SuspectKey> {
         val now = clock.now()
-        val recorded = keys.filterNot { suspects.isAnsweredConstantly(it, now) }.takeLast(MAXIMUM_KEYS_PER_CRASH)
+        val recorded = mostSuspicious(keys.filterNot { suspects.isAnsweredConstantly(it, now) }, process, now)
         if (recorded.isEmpty()) return recorded
         val crash = ownCrashes.getOrPut(process) { OwnCrash(now, wallClock()) }
-        crash.keys += recorded.take(MAXIMUM_KEYS_PER_CRASH - crash.keys.size)
+        crash.keys += recorded
+        if (crash.keys.size > MAXIMUM_KEYS_PER_CRASH) {
+            crash.keys.retainAll(mostSuspicious(crash.keys.toList(), process, now).toSet())
+        }
         suspects.recordCrash(process, recorded, crash.at, now)
         return recorded
     }
 
+    /**
+     * Returns those of [keys] against which there is most evidence: that had most crashes, then those whose last answer
+     * is longest ago. Among equals the choice differs from crash to crash, so that no key is left out each time.
+     */
+    private fun mostSuspicious(keys: List<SuspectKey>, process: String, now: MonotonicTime): List<SuspectKey> {
+        if (keys.size <= MAXIMUM_KEYS_PER_CRASH) return keys
+        val chosen = keys.distinct().sortedWith(
+            compareByDescending<SuspectKey> { suspects.crashCount(it, now) }
+                .thenBy { suspects.recentAnswerAt(it, now) ?: MonotonicTime.distantPast }
+                .thenBy { (process + it.value).hashCode() },
+        ).take(MAXIMUM_KEYS_PER_CRASH).toSet()
+        return keys.filter { it in chosen }
+    }
+
     /** Records that an answer with [keys] has begun here. Returns those that this clears of crashes. */
     fun recordAnswer(keys: List<SuspectKey>): List<SuspectKey> = keys.filter { recordAnswer(it, clock.now()) }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
@@ -8,6 +8,7 @@
 import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.result.ResultCode
 import org.heatherwind.core.work.WorkRequest
+import org.heatherwind.gateway.caller.ReceivedRequest
 import org.heatherwind.gateway.serve.RouterError
 import org.heatherwind.gateway.state.RouterReport
 import org.heatherwind.gateway.telemetry.DecisionLog
@@ -32,6 +33,11 @@
     private val unsentAnswers = HashSet<SuspectKey>()
     private var isNoticeScheduled = false
 
+    private val partKeys = PartKeys()
+
+    /** Returns the keys of the content of [request]. */
+    fun keysOf(work: WorkRequest, request: ReceivedRequest): RequestKeys = RequestKeys(work, request, partKeys)
+
     /** Number of keys that are blocked. */
     val blockedCount: Int get() = evidence.suspects.blocked(clock.now()).size
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/RequestKeys.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/RequestKeys.kt
@@ -4,11 +4,11 @@
 import org.heatherwind.core.work.WorkRequest
 import org.heatherwind.gateway.caller.ReceivedRequest
 
-/** The suspect keys of one request, computed when they are needed. */
-internal class RequestKeys(work: WorkRequest, request: ReceivedRequest) {
+/** The suspect keys of one request, computed when they are needed. The limit on headers bounds their number. */
+internal class RequestKeys(work: WorkRequest, request: ReceivedRequest, partKeys: PartKeys) {
     /** The keys of the prompt's parts that other prompts may share. */
     val parts: List<SuspectKey> by lazy(LazyThreadSafetyMode.NONE) {
-        work.tokens?.sharedParts.orEmpty().take(MAXIMUM_PARTS).map { SuspectKey.ofPart(it.key) }
+        work.tokens?.sharedParts.orEmpty().map { partKeys.of(it.key) }
     }
 
     /** The keys of the prompt's shared parts, and that of the whole request. */
@@ -16,9 +16,4 @@
         val head = request.head
         parts + SuspectKey.ofRequest(work.customer?.id, head.method().name(), head.uri(), request.body)
     }
-
-    private companion object {
-        /** Limits the work for a request with a very long list of parts. */
-        const val MAXIMUM_PARTS = 64
-    }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -17,7 +17,6 @@
 import org.heatherwind.gateway.caller.RequestHandler
 import org.heatherwind.gateway.caller.RouterStoppingException
 import org.heatherwind.gateway.crash.CrashProtection
-import org.heatherwind.gateway.crash.RequestKeys
 import org.heatherwind.gateway.http.MemoryLimit
 import org.heatherwind.gateway.peer.PlacementAnnouncements
 import org.heatherwind.gateway.protocol.CallerProtocol
@@ -98,7 +97,7 @@
 
             is Either.Right -> {
                 progress.route = admitted.value.route.name
-                progress.keys = RequestKeys(admitted.value, request)
+                progress.keys = context.crashes.keysOf(admitted.value, request)
                 progress.onAnswerBegun = { context.crashes.recordAnswer(progress.keys) }
                 serveAdmitted(admitted.value, request, progress, planVersion)
             }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashEvidenceTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashEvidenceTest.kt
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.TestFactory
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Given several routers that each see few crashes, when they exchange them, then all block the same keys. */
 class CrashEvidenceTest {
@@ -121,6 +122,37 @@
         assertEquals(2, router.evidence.reports().size)
     }
 
+    private class Position(val name: String, val keys: (List<SuspectKey>) -> List<SuspectKey>)
+
+    private val positions = listOf(
+        Position("first") { listOf(deadly) + it },
+        Position("in the middle") { it.take(100) + deadly + it.drop(100) },
+        Position("last") { it + deadly },
+    )
+
+    // Guards against a part that is left out of the evidence because of its position in a long prompt.
+    @TestFactory
+    fun `a deadly part of a prompt with hundreds of parts is blocked wherever it stands`(): List<DynamicTest> =
+        positions.map { position ->
+            DynamicTest.dynamicTest(position.name) {
+                val routers = (1..9).map { Router("router-$it@5") }
+                val others = keys(300)
+                repeat(5) { number ->
+                    val observer = routers[number]
+                    // Sound requests with the other parts are answered now and then.
+                    routers.forEach { it.evidence.recordAnswer(others) }
+                    nowMilliseconds += 3_000
+                    observer.crash("target-$number@1", position.keys(others))
+                    routers.filter {
+                        it !== observer
+                    }.forEach { it.evidence.adopt(observer.notice("target-$number@1")) }
+                    assertTrue(observer.notice("target-$number@1").crashes.all { it.keys.size <= 64 })
+                }
+                assertEquals(routers.size, routers.count { it.isBlocked(deadly) })
+                assertEquals(0, others.count { key -> routers.any { it.isBlocked(key) } })
+            }
+        }
+
     @Test
     fun `reports are bounded and malformed keys of other routers are ignored`() {
         val router = Router("router-1@5")
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashProtectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashProtectionTest.kt
@@ -150,7 +150,7 @@
 
     private fun keysOf(work: WorkRequest): RequestKeys {
         val head = DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/chat/1")
-        return RequestKeys(work, ReceivedRequest(head, work.id.encodeToByteArray(), clock.now()))
+        return RequestKeys(work, ReceivedRequest(head, work.id.encodeToByteArray(), clock.now()), PartKeys())
     }
 
     private fun workOf(parts: List<String>) = WorkRequest(
