Take an answer for a proof only once its target outlived it

Cause: the first event cleared the request's keys of crashes. A connection that was lost after it was no sign of a crash, and the stream was resumed at the next target.

Change: an answer is proof by an event half a second after the first, or when it is whole (AnswerSurvival). A connection that is lost before that is checked like one lost before the answer. Streams that have gone on for longer are resumed as before.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashEvidence.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashEvidence.kt
@@ -23,8 +23,8 @@
     }
 
     /**
-     * Records that this router's requests with [keys] were waiting for the begin of their answers when the target
-     * process [process] crashed. Keys to which answers begin all the time are ignored. Returns the others, at most the
+     * Records that the target process [process] crashed before it had outlived the begin of its answers to requests of
+     * this router with [keys]. Keys that are answered all the time are ignored. Returns the others, at most the
      * [MAXIMUM_KEYS_PER_CRASH] most suspicious ones, in the order of [keys].
      */
     fun recordOwnCrash(process: String, keys: List<SuspectKey>): List<SuspectKey> {
@@ -54,7 +54,10 @@
         return keys.filter { it in chosen }
     }
 
-    /** Records that an answer with [keys] has begun here. Returns those that this clears of crashes. */
+    /**
+     * Records that a target has outlived the begin of its answer to a request with [keys] here. Returns those that this
+     * clears of crashes.
+     */
     fun recordAnswer(keys: List<SuspectKey>): List<SuspectKey> = keys.filter { recordAnswer(it, clock.now()) }
 
     private fun recordAnswer(key: SuspectKey, answeredAt: MonotonicTime): Boolean {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashMessages.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashMessages.kt
@@ -7,7 +7,7 @@
  *
  * @property process the target's process
  * @property epochMilliseconds wall-clock time of the crash at the reporting router, in milliseconds since 1970
- * @property keys suspect keys of the router's requests that were waiting there for the begin of their answers
+ * @property keys suspect keys of the router's requests there whose answers had not begun, or only just
  */
 @Serializable
 internal data class CrashReport(val process: String, val epochMilliseconds: Long, val keys: List<String>)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
@@ -57,7 +57,7 @@
         return RouterError(ResultCode.CRASHING_REQUEST_BLOCKED, RETRY_AFTER_MILLISECONDS)
     }
 
-    /** Records that the answer to a request with [keys] has begun. */
+    /** Records that a target has outlived the begin of its answer to a request with [keys]. */
     fun recordAnswer(keys: RequestKeys) {
         val cleared = evidence.recordAnswer(if (evidence.suspects.isEmpty) keys.parts else keys.all)
         if (cleared.isNotEmpty()) announceCleared("here", cleared)
@@ -70,8 +70,8 @@
     }
 
     /**
-     * Records that the connection to [target] was lost before the answer to a request with [keys] had begun. Returns
-     * whether the request may be sent to another target.
+     * Records that the connection to [target] was lost before the answer to a request with [keys] had begun, or soon
+     * after. Returns whether the request may be sent to another target.
      */
     suspend fun recordLostConnection(work: WorkRequest, keys: RequestKeys, target: TargetLoad): Boolean {
         if (!detector.hasCrashed(target)) return true
@@ -82,7 +82,7 @@
         metrics.countRequestLostToCrash()
         log.request(
             work.id,
-            "The target crashed before the answer had begun.",
+            "The target crashed before or soon after the answer had begun.",
             "target" to target.entry.id.value,
             "crashesByKey" to crashes,
             "blocked" to recorded.filter { evidence.suspects.isBlocked(it, now) },
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/DeliveryProgress.kt
@@ -47,12 +47,10 @@
     /** Identifies the request's content; set when the request is admitted. */
     lateinit var keys: RequestKeys
 
-    /** Called when the first answer of a target begins. */
-    var onAnswerBegun: () -> Unit = {}
+    /** Called when a target has first outlived the begin of its answer. */
+    var onAnswerOutlived: () -> Unit = {}
 
-    /** Whether some target has begun to answer the request. */
-    var hasAnswerBegun = false
-        private set
+    private var isAnswerOutlived = false
 
     /** ID of the last event that was forwarded, or null. */
     var lastEventId: Long? = null
@@ -113,16 +111,15 @@
         possibleRuns--
     }
 
-    /** Records that a target has begun to answer the request. */
-    fun recordAnswerBegun() {
-        if (hasAnswerBegun) return
-        hasAnswerBegun = true
-        onAnswerBegun()
+    /** Records that a target has outlived the begin of its answer, so that the request does not crash it. */
+    fun recordAnswerOutlived() {
+        if (isAnswerOutlived) return
+        isAnswerOutlived = true
+        onAnswerOutlived()
     }
 
     /** Records and charges an event that is forwarded; [id] is null where the event has none. */
     fun recordEvent(id: Long?) {
-        recordAnswerBegun()
         meter?.recordEvent()
         eventCount++
         if (id != null) lastEventId = id
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/RequestServer.kt
@@ -98,7 +98,7 @@
             is Either.Right -> {
                 progress.route = admitted.value.route.name
                 progress.keys = context.crashes.keysOf(admitted.value, request)
-                progress.onAnswerBegun = { context.crashes.recordAnswer(progress.keys) }
+                progress.onAnswerOutlived = { context.crashes.recordAnswer(progress.keys) }
                 serveAdmitted(admitted.value, request, progress, planVersion)
             }
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempt.kt
@@ -51,6 +51,12 @@
         clock.now(),
     )
     private var isFirstEventRecorded = false
+
+    private val survival = AnswerSurvival(clock, progress::recordAnswerOutlived)
+
+    /** Whether the target has outlived the begin of its answer. */
+    val hasOutlivedAnswer: Boolean get() = survival.isProven
+
     private val claim = target.pace.claim()
 
     /** When the response is overdue. Only valid parts of the answer extend it, other bytes do not. */
@@ -387,6 +393,7 @@
         },
         onEvents = {
             recordFirstEvent()
+            survival.recordEvents()
             extendProgress(hasStarted = true)
         },
         onForwarded = { observation?.recordEvent() },
@@ -398,7 +405,10 @@
         response: HttpResponse,
         forwarder: EventForwarder,
     ): AttemptResult {
-        if (forwarder.isWithinEvent) return AttemptResult.Incomplete("the stream ended within an event")
+        if (forwarder.isWithinEvent) {
+            val isConnectionLost = !connection.isResponseFramed
+            return AttemptResult.Incomplete("the stream ended within an event", isConnectionLost)
+        }
         if (forwarder.hasNotContinued) return AttemptResult.Incomplete("the stream was not continued")
         if (!forwarder.hasEvents && !connection.isResponseFramed) {
             return AttemptResult.Incomplete("the stream ended before its first event", isConnectionLost = true)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetAttempts.kt
@@ -45,7 +45,7 @@
             while (attempt != null) {
                 val result = attempt.forward()
                 if (recordResult(attempt, result)) return null
-                val mayContinue = mayContinueAfter(result, attempt.placement)
+                val mayContinue = mayContinueAfter(result, attempt)
                 attempt = takeSuccessor() ?: if (mayContinue) startNext() else null
             }
         } finally {
@@ -83,7 +83,7 @@
                 return true
             }
             recordResult(attempt, result)
-            mayContinue = mayContinueAfter(result, placement)
+            mayContinue = mayContinueAfter(result, attempt)
         }
         context.log.request(
             work.id,
@@ -124,10 +124,11 @@
         return true
     }
 
-    private suspend fun mayContinueAfter(result: AttemptResult, placement: Placement): Boolean {
+    /** A connection that is lost soon after the answer has begun may be lost to a crash by the request, too. */
+    private suspend fun mayContinueAfter(result: AttemptResult, attempt: TargetAttempt): Boolean {
         val isConnectionLost = result is AttemptResult.Incomplete && result.isConnectionLost
-        if (!isConnectionLost || progress.hasAnswerBegun) return true
-        return context.crashes.recordLostConnection(work, progress.keys, placement.target)
+        if (!isConnectionLost || attempt.hasOutlivedAnswer) return true
+        return context.crashes.recordLostConnection(work, progress.keys, attempt.placement.target)
     }
 
     private fun mayAttempt(): Boolean = triedTargets.size < MAXIMUM_TARGETS &&
@@ -232,7 +233,7 @@
         when (result) {
             is AttemptResult.Delivered -> {
                 room.estimate.recordRun(attempt.runMilliseconds)
-                progress.recordAnswerBegun()
+                progress.recordAnswerOutlived()
                 return true
             }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -27,7 +27,7 @@
         .help("Requests that ended without a whole answer although the caller stayed, by route and stage reached.")
         .labelNames("route", "reached").register(registry)
     private val requestsLostToCrashes = Counter.builder().name("heatherwind_requests_lost_to_crashes_total")
-        .help("Requests whose target crashed before the answer had begun.").register(registry)
+        .help("Requests whose target crashed before or soon after the answer had begun.").register(registry)
     private val rolloutAttempts = Counter.builder().name("heatherwind_rollout_attempts_total")
         .help("Requests sent to targets while a roll-out was under way, by service and version.")
         .labelNames("service", "version").register(registry)
@@ -89,7 +89,7 @@
         firstChunk.labelValues(route).observe(milliseconds / MILLISECONDS_PER_SECOND)
     }
 
-    /** Counts a request whose target crashed before the answer had begun. */
+    /** Counts a request whose target crashed before or soon after the answer had begun. */
     public fun countRequestLostToCrash() {
         requestsLostToCrashes.inc()
     }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashEvidenceTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashEvidenceTest.kt
@@ -122,6 +122,59 @@
         assertEquals(2, router.evidence.reports().size)
     }
 
+    private class Death(val name: String, val routers: Int, val isDeadly: Boolean)
+
+    private val deaths = listOf(9, 95).flatMap { routers ->
+        listOf(
+            Death("$routers routers, targets that die for another reason", routers, isDeadly = false),
+            Death("$routers routers, targets that a part crashes", routers, isDeadly = true),
+        )
+    }
+
+    // Guards against refusals of the sound requests that were on targets when these died, also in mid-answer.
+    @TestFactory
+    fun `given requests of many routers on targets that die then only a deadly part is blocked`(): List<DynamicTest> =
+        deaths.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                val routers = (1..case.routers).map { Router("router-$it@5") }
+                val subjects = (1..20).map { SuspectKey.ofPart("subject $it") }
+                repeat(12) { death ->
+                    // Each subject is answered somewhere every few seconds, and the part of all prompts everywhere.
+                    routers.forEach { it.evidence.recordAnswer(listOf(shared)) }
+                    (0..4).forEach { answer(routers, subjects[(death * 5 + it) % subjects.size], death * 31 + it) }
+                    nowMilliseconds += 1_000
+                    val process = "target-$death@1"
+                    val observers = routers.indices.filter { it % 3 == death % 3 }
+                    observers.forEach { routers[it].crash(process, listOf(shared, subjects[it % subjects.size])) }
+                    if (case.isDeadly) routers[death % case.routers].crash(process, listOf(shared, deadly))
+                    observers.union(listOf(death % case.routers)).forEach { share(routers[it], process, routers) }
+                    nowMilliseconds += 1_000
+                }
+                assertEquals(if (case.isDeadly) case.routers else 0, routers.count { it.isBlocked(deadly) })
+                val refused = subjects.filter { subject -> routers.any { it.isBlocked(subject) } }
+                assertEquals(emptyList(), refused)
+                assertEquals(0, routers.count { it.isBlocked(shared) })
+            }
+        }
+
+    private fun answer(routers: List<Router>, key: SuspectKey, number: Int) {
+        val router = routers[number % routers.size]
+        val cleared = router.evidence.recordAnswer(listOf(key))
+        val notice = CrashNotice(answers = router.evidence.answersTo(cleared))
+        routers.filter { it !== router }.forEach { it.evidence.adopt(notice) }
+    }
+
+    /** Sends [sender]'s notice of a crash of [process], and forwards the answers that the others know of. */
+    private fun share(sender: Router, process: String, routers: List<Router>) {
+        val notice = sender.notice(process)
+        val keys = notice.crashes.flatMap { it.keys }.mapNotNull { SuspectKey.parse(it) }
+        val others = routers.filter { it !== sender }
+        val answers = others.flatMap { it.evidence.answersTo(keys) }
+        others.forEach { it.evidence.adopt(notice) }
+        sender.evidence.adopt(answers)
+        others.forEach { it.evidence.adopt(CrashNotice(answers = answers)) }
+    }
+
     private class Position(val name: String, val keys: (List<SuspectKey>) -> List<SuspectKey>)
 
     private val positions = listOf(
