Check again whether a target has crashed after a lost connection

What was seen: CrashingRequestsTest failed now and then; one request too many reached a target. The log of such a run shows a lost connection and no crash.

Its result held for a second, so that it also hid a crash soon after the loss of a single connection.

Change: a check holds for 250 ms, and one that finds the target accepting is repeated after 250 ms, once for all connections lost meanwhile. The request does not wait for it.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
@@ -71,10 +71,17 @@
 
     /**
      * Records that the connection to [target] was lost before the answer to a request with [keys] had begun, or soon
-     * after. Returns whether the request may be sent to another target.
+     * after. Returns whether the request may be sent to another target. This does not wait until it is certain that the
+     * target has not crashed.
      */
     suspend fun recordLostConnection(work: WorkRequest, keys: RequestKeys, target: TargetLoad): Boolean {
-        if (!detector.hasCrashed(target)) return true
+        if (detector.hasCrashed(target)) return recordCrash(work, keys, target)
+        scope.launch { if (detector.hasCrashedAfterAll(target)) recordCrash(work, keys, target) }
+        return true
+    }
+
+    /** Records a crash of [target] under a request with [keys]. Returns whether it may be sent to another target. */
+    private fun recordCrash(work: WorkRequest, keys: RequestKeys, target: TargetLoad): Boolean {
         val process = TargetCrashDetector.processOf(target.entry)
         val recorded = evidence.recordOwnCrash(process, keys.all)
         val now = clock.now()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/TargetCrashDetector.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/TargetCrashDetector.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.placement.TargetLoad
@@ -23,21 +24,43 @@
 ) {
     private val checks = HashMap<String, Check>()
 
-    /** Returns whether [target] has crashed. Checks each target at most once within [CHECK_LIFETIME_MILLISECONDS]. */
+    /** Number of the last event, which is a check or a recheck that was asked for. */
+    private var lastEvent = 0L
+
+    /**
+     * Returns whether [target] is known to have crashed. Checks each target at most once within
+     * [CHECK_LIFETIME_MILLISECONDS], so that the answer may be out of date.
+     */
     suspend fun hasCrashed(target: TargetLoad): Boolean {
         val now = clock.now()
         checks.values.removeIf { now.millisecondsSince(it.startedAt) > CHECK_LIFETIME_MILLISECONDS }
-        val check = checks.getOrPut(processOf(target.entry)) {
-            Check(now, scope.async(start = CoroutineStart.UNDISPATCHED) { isRefusing(target) })
-        }
-        return check.result.await()
+        return (checks[processOf(target.entry)] ?: check(target)).result.await()
+    }
+
+    /**
+     * Returns whether [target] has crashed, as of some time after this call: a process that ends may close connections
+     * a little before its host refuses new ones. All calls within that time share one check.
+     */
+    suspend fun hasCrashedAfterAll(target: TargetLoad): Boolean {
+        val lostAtEvent = ++lastEvent
+        delay(RECHECK_DELAY_MILLISECONDS)
+        val latest = checks[processOf(target.entry)]?.takeIf { it.event > lostAtEvent }
+        return (latest ?: check(target)).result.await()
     }
 
-    private class Check(val startedAt: MonotonicTime, val result: Deferred<Boolean>)
+    private fun check(target: TargetLoad): Check {
+        val result = scope.async(start = CoroutineStart.UNDISPATCHED) { isRefusing(target) }
+        return Check(++lastEvent, clock.now(), result).also { checks[processOf(target.entry)] = it }
+    }
+
+    private class Check(val event: Long, val startedAt: MonotonicTime, val result: Deferred<Boolean>)
 
     companion object {
         /** All connections of a crashed target end within some tens of milliseconds. */
-        private const val CHECK_LIFETIME_MILLISECONDS = 1_000L
+        private const val CHECK_LIFETIME_MILLISECONDS = 250L
+
+        /** Many times what the end of a process takes, and far less than the start of the next one. */
+        private const val RECHECK_DELAY_MILLISECONDS = 250L
 
         /** Identifies the process of the target with [entry] in the fleet. */
         fun processOf(entry: TargetEntry): String = "${entry.id.value}@${entry.startedAtEpochMilliseconds ?: 0}"
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashProtectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/crash/CrashProtectionTest.kt
@@ -55,14 +55,16 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
     }
 
-    private inner class Router(number: Int, isRefusing: Boolean = true) {
+    private inner class Router(number: Int, var isRefusing: Boolean = true) {
+        /** Called with each check of a target. */
+        var onCheck: () -> Unit = {}
         private val metrics = GatewayMetrics()
         private val log = DecisionLog(clock, metrics)
         private val scope = CoroutineScope(SupervisorJob() + dispatcher)
         private val peerClient = PeerClient(SimpleHttpClient(group.next(), MonotonicClock.system), log, 10_000)
         val protection: CrashProtection = CrashProtection(
             evidence = CrashEvidence(Incarnation("router-$number@5"), clock) { Timestamp(clock.now().milliseconds) },
-            detector = TargetCrashDetector(scope, clock) { isRefusing },
+            detector = TargetCrashDetector(scope, clock) { isRefusing.also { onCheck() } },
             notifier = CrashNotifier(scope, peerClient) { addresses - address },
             scope = scope,
             clock = clock,
@@ -123,6 +125,38 @@
             assertEquals(false, router.refuses("deadly", "own"))
         }
 
+    // Guards against a crash that is overlooked because another connection to the target was lost just before it.
+    @Test
+    fun `a crash soon after the loss of a single connection is noticed`() =
+        onEventLoop(listOf(Router(1, isRefusing = false))) { (router) ->
+            router.lose("target-1", "sound", "own")
+            offsetMilliseconds += 300
+            router.isRefusing = true
+            router.lose("target-1", "deadly", "own")
+            assertEquals(1, router.protection.suspectedTargets("deadly"))
+        }
+
+    // Guards against a crash that is overlooked because the host accepts connections for a moment after it.
+    @Test
+    fun `a crash is noticed although the target accepted a connection after the loss`() =
+        onEventLoop(listOf(Router(1, isRefusing = false))) { (router) ->
+            router.onCheck = { router.isRefusing = true }
+            assertEquals(true, router.lose("target-1", "deadly", "own"))
+            awaitEverywhere(listOf(router)) { it.protection.suspectedTargets("deadly") == 1 }
+        }
+
+    // Guards against a connection to a loaded target for each one that it resets.
+    @Test
+    fun `the connections that a target resets at once are checked together`() =
+        onEventLoop(listOf(Router(1, isRefusing = false))) { (router) ->
+            var checks = 0
+            router.onCheck = { checks++ }
+            repeat(100) { router.lose("target-1", "part $it", "own") }
+            while (checks < 2) delay(1)
+            delay(1)
+            assertEquals(2, checks)
+        }
+
     @Test
     fun `a request is sent to another target only after the first crash`() =
         onEventLoop(listOf(Router(1))) { (router) ->
