Take an unframed answer to an unfinished upload for broken off

Cause: the end of the input counted as the end of the answer, whatever became of the upload.

Change: an answer that begins before its request was written completely is complete only if it states where it ends, in whichever order a failed write and the end of the input arrive.

Measured: four of six new cases of ClientConnectionTest and one of two of ResponseEndTest failed before; all pass.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -59,6 +59,9 @@
     var isResponseFramed = true
         private set
 
+    /** Whether the current response began before its request was written completely. */
+    private var isResponseEarly = false
+
     /** Whether the peer ended the connection, as opposed to a reset or to a close by this process. */
     private var isEndedByPeer = false
 
@@ -230,6 +233,7 @@
                 response.status().codeClass() == HttpStatusClass.INFORMATIONAL ||
                 response.status().code() in BODILESS_STATUSES ||
                 decoder?.requestMethod == HttpMethod.HEAD
+            isResponseEarly = !isRequestWritten
             if (!HttpUtil.isKeepAlive(response)) isClosing = true
             keepAliveSeconds = response.headers()[KEEP_ALIVE]?.substringAfter("timeout=", "")
                 ?.takeWhile { it.isDigit() }?.toLongOrNull()
@@ -248,8 +252,9 @@
             }
             content.release()
             if (content is LastHttpContent) {
-                val isComplete = isResponseFramed || isEndedByPeer
-                offer(if (isComplete) ResponsePart.End else ResponsePart.Failed("connection failed within the body"))
+                // A peer that resets the upload may end its output first, and the two arrive in any order.
+                val isWhole = isResponseFramed || (isEndedByPeer && !isResponseEarly)
+                offer(if (isWhole) ResponsePart.End else ResponsePart.Failed("connection failed within the body"))
             }
         }
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
@@ -1,11 +1,16 @@
 package org.heatherwind.gateway.http
 
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOutboundHandlerAdapter
+import io.netty.channel.ChannelPromise
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
@@ -13,6 +18,7 @@
 import org.heatherwind.core.identity.MonotonicTime
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
+import java.io.IOException
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -51,6 +57,80 @@
         }
     }
 
+    private class UploadCase(val name: String, val isComplete: Boolean, val play: Upload.() -> Unit)
+
+    /** A connection on which the writes of a request stay open until they are completed or failed. */
+    private class Upload {
+        private val writes = ArrayList<ChannelPromise>()
+        private val holdWrites = object : ChannelOutboundHandlerAdapter() {
+            override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+                ReferenceCountUtil.release(message)
+                writes += promise
+            }
+        }
+        val channel = EmbeddedChannel(holdWrites, ResponseDecoder(HttpDecoderConfig()), HttpRequestEncoder())
+        val connection = ClientConnection(channel, MonotonicClock.system)
+
+        fun receive(text: String) = channel.writeInbound(Unpooled.copiedBuffer(text, Charsets.UTF_8))
+
+        fun completeWrites() = writes.forEach { it.trySuccess() }
+
+        fun failWrites() = writes.forEach { it.tryFailure(IOException("Connection reset by peer")) }
+
+        fun endInput() = channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
+    }
+
+    private val uploadCases = listOf(
+        UploadCase("the answer begins and ends after the upload", isComplete = true) {
+            completeWrites()
+            receive(UNFRAMED)
+            endInput()
+        },
+        UploadCase("the answer begins within the upload, which is completed", isComplete = false) {
+            receive(UNFRAMED)
+            completeWrites()
+            endInput()
+        },
+        UploadCase("the answer begins and ends within the upload", isComplete = false) {
+            receive(UNFRAMED)
+            endInput()
+        },
+        UploadCase("the upload is reset before the answer ends", isComplete = false) {
+            receive(UNFRAMED)
+            failWrites()
+            endInput()
+        },
+        UploadCase("the upload is reset before the answer begins", isComplete = false) {
+            failWrites()
+            receive(UNFRAMED)
+            endInput()
+        },
+        UploadCase("an answer with a length begins and ends within the upload", isComplete = true) {
+            receive("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart")
+        },
+    )
+
+    // Guards against a part of an answer that the caller gets as a complete one, since the target reset the upload.
+    @TestFactory
+    fun `an answer without length that begins within the upload is not complete`(): List<DynamicTest> =
+        uploadCases.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                runTest {
+                    val upload = Upload()
+                    val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
+                    upload.connection.send(HttpMethod.POST, "/", headers, ByteArray(100))
+                    upload.run(case.play)
+                    var part = upload.connection.receive()
+                    while (part is ResponsePart.Head || part is ResponsePart.Body) {
+                        if (part is ResponsePart.Body) part.content.release()
+                        part = upload.connection.receive()
+                    }
+                    assertEquals(case.isComplete, part is ResponsePart.End)
+                    upload.connection.close()
+                }
+            }
+        }
+
     private class WholeCase(val name: String, val method: HttpMethod, val responses: String, val heads: Int)
 
     private val wholeCases = listOf(
@@ -112,6 +192,7 @@
     }
 
     private companion object {
+        const val UNFRAMED = "HTTP/1.1 200 OK\r\n\r\npart"
         const val EARLY_HINTS = "HTTP/1.1 103 Early Hints\r\n\r\n"
         const val CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         const val CHUNKS = 1_000
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/http/ResponseEndTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/http/ResponseEndTest.kt
@@ -23,6 +23,7 @@
         val name: String,
         val response: String,
         val isComplete: Boolean,
+        val uploadBytes: Int = 0,
         val end: (ClientConnection, Socket) -> Unit,
     )
 
@@ -42,6 +43,12 @@
         Case("the peer ends the connection between chunks", chunked, isComplete = false) { _, socket ->
             socket.close()
         },
+        Case("the peer ends its output within the upload", unframed, isComplete = false, LONG_UPLOAD) { _, socket ->
+            socket.shutdownOutput()
+        },
+        Case("the peer closes with the upload unread", unframed, isComplete = false, LONG_UPLOAD) { _, socket ->
+            socket.close()
+        },
     )
 
     // Guards against a response that was broken off and looks complete to its caller.
@@ -58,7 +65,7 @@
                         val connection = assertNotNull(pool.connect(address, TIMEOUT_MILLISECONDS))
                         server.accept().use { socket ->
                             val headers = DefaultHttpHeadersFactory.headersFactory().newHeaders()
-                            connection.send(HttpMethod.GET, "/", headers, ByteArray(0))
+                            connection.send(HttpMethod.POST, "/", headers, ByteArray(case.uploadBytes))
                             while (HEAD_END !in received(socket)) Unit
                             socket.getOutputStream().write(case.response.encodeToByteArray())
                             var part = connection.receive()
@@ -80,6 +87,9 @@
 
     private companion object {
         const val TIMEOUT_MILLISECONDS = 5_000L
+
+        /** More than the buffers of a connection hold. */
+        const val LONG_UPLOAD = 32_000_000
         const val BUFFER_BYTES = 4_096
         const val HEAD_END = "\r\n\r\n"
     }
