Reject responses whose status is none

What callers saw: statuses above 599 reached them as answers. Those below 100 were taken for informational, so that the request ended at its deadline.

Cause: no place checked that the three digits of a response are a status.

Change: a head with a status outside of 100 to 599 counts as malformed.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -224,6 +224,7 @@
 
         private fun receiveHead(response: HttpResponse) {
             if (response.decoderResult().isFailure) return fail("malformed response head")
+            if (response.status().code() !in STATUSES) return fail("a status that is none: ${response.status().code()}")
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 informationalResponses++
                 if (informationalResponses > MAXIMUM_INFORMATIONAL) return fail("informational responses without end")
@@ -314,6 +315,9 @@
         const val KEEP_ALIVE = "Keep-Alive"
         const val MILLISECONDS_PER_SECOND = 1_000L
 
+        /** The valid statuses (RFC 9110, section 15). */
+        val STATUSES = 100..599
+
         /** Subtracted from the peer's timeout, so that a request arrives before the peer closes the connection. */
         const val IDLE_MARGIN_MILLISECONDS = 300L
 
