Name the second check for a crash

Cause: "after all" does not say what the check is. Change: hasCrashedOnRecheck, and a counter instead of events. No change of behaviour. Measured: CrashProtectionTest passes.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/CrashProtection.kt
@@ -76,7 +76,7 @@
      */
     suspend fun recordLostConnection(work: WorkRequest, keys: RequestKeys, target: TargetLoad): Boolean {
         if (detector.hasCrashed(target)) return recordCrash(work, keys, target)
-        scope.launch { if (detector.hasCrashedAfterAll(target)) recordCrash(work, keys, target) }
+        scope.launch { if (detector.hasCrashedOnRecheck(target)) recordCrash(work, keys, target) }
         return true
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/TargetCrashDetector.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/TargetCrashDetector.kt
@@ -24,8 +24,8 @@
 ) {
     private val checks = HashMap<String, Check>()
 
-    /** Number of the last event, which is a check or a recheck that was asked for. */
-    private var lastEvent = 0L
+    /** Counts checks and requests for a recheck, so that it is known which came first. */
+    private var lastNumber = 0L
 
     /**
      * Returns whether [target] is known to have crashed. Checks each target at most once within
@@ -38,22 +38,22 @@
     }
 
     /**
-     * Returns whether [target] has crashed, as of some time after this call: a process that ends may close connections
-     * a little before its host refuses new ones. All calls within that time share one check.
+     * Returns whether [target] has crashed, as of [RECHECK_DELAY_MILLISECONDS] after this call: a process that ends may
+     * close connections a little before its host refuses new ones. All calls within that time share one check.
      */
-    suspend fun hasCrashedAfterAll(target: TargetLoad): Boolean {
-        val lostAtEvent = ++lastEvent
+    suspend fun hasCrashedOnRecheck(target: TargetLoad): Boolean {
+        val requestNumber = ++lastNumber
         delay(RECHECK_DELAY_MILLISECONDS)
-        val latest = checks[processOf(target.entry)]?.takeIf { it.event > lostAtEvent }
+        val latest = checks[processOf(target.entry)]?.takeIf { it.number > requestNumber }
         return (latest ?: check(target)).result.await()
     }
 
     private fun check(target: TargetLoad): Check {
         val result = scope.async(start = CoroutineStart.UNDISPATCHED) { isRefusing(target) }
-        return Check(++lastEvent, clock.now(), result).also { checks[processOf(target.entry)] = it }
+        return Check(++lastNumber, clock.now(), result).also { checks[processOf(target.entry)] = it }
     }
 
-    private class Check(val event: Long, val startedAt: MonotonicTime, val result: Deferred<Boolean>)
+    private class Check(val number: Long, val startedAt: MonotonicTime, val result: Deferred<Boolean>)
 
     companion object {
         /** All connections of a crashed target end within some tens of milliseconds. */
