Know the demand at a busy router of a large fleet within seconds

The waiting room, suspected before, refused few of these requests.

Cause: the demand at a router was averaged over most of a half-life that grows with the fleet (20 s for 79 routers), so that a busy router knew a tenth of it at first and asked for a tenth of the tokens. Later updates of its grant met conflicts, which were not logged.

Change: the least time over which few requests are averaged shrinks with their number, once there are more than eight (DecayingRate). Updates that end in conflicts are logged.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetHolding.kt
@@ -24,7 +24,7 @@
     private var confirmedCeiling: SentCeiling? = null
     private var proposedCeiling: SentCeiling? = null
     private var witnessedTokens = Long.MIN_VALUE
-    private val demand = DecayingRate(startedAt, DEMAND_HALF_LIFE_MILLISECONDS)
+    private val demand = DecayingRate(startedAt, DEMAND_HALF_LIFE_MILLISECONDS, RELIABLE_REQUESTS)
     private var largestRequest = LargestRequest(tokens = 0, seenAt = startedAt)
 
     /** Granted tokens that are neither used nor reserved. */
@@ -167,6 +167,9 @@
         /** Lengthens the half-life to a few requests of a customer of medium demand for any number of holders. */
         const val HALF_LIFE_PER_HOLDER_MILLISECONDS = 250.0
 
+        /** The mean of so many requests is seldom wrong by half. */
+        const val RELIABLE_REQUESTS = 8.0
+
         /** A router may transfer half of its reservable tokens to another. */
         const val TRANSFER_DIVISOR = 2
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
@@ -54,8 +54,11 @@
 
             LedgerUpdate.Unread -> GrantUpdateOutcome.FAILED.also { budget.isLastReadSuccessful = false }
 
-            LedgerUpdate.Conflicting ->
-                GrantUpdateOutcome.FAILED.also { budget.nextBackgroundUpdateAt = nextUpdateAt() }
+            LedgerUpdate.Conflicting -> {
+                budget.nextBackgroundUpdateAt = nextUpdateAt()
+                logConflicts(budget, planned, attempts)
+                GrantUpdateOutcome.FAILED
+            }
 
             is LedgerUpdate.Unconfirmed -> failUnconfirmed(budget, update.append)
         }
@@ -131,6 +134,16 @@
         )
     }
 
+    private fun logConflicts(budget: CustomerBudget, planned: PlannedGrant, attempts: Int): Unit = log.stateChange(
+        "budget",
+        "Other routers updated the partition before each attempt at a grant update.",
+        "customer" to budget.id.value,
+        "attempts" to attempts,
+        "before" to planned.before,
+        "after" to planned.after,
+        "available" to budget.holding.availableTokens,
+    )
+
     private fun logUpdate(budget: CustomerBudget, stored: PlannedGrant): Unit = log.stateChange(
         "budget",
         "Updated a grant.",
