Know a request that crashes targets again under another query

Cause: the key of a whole request contained its query.

Change: a request has a second, less specific key without the query.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/crash/RequestKeys.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/crash/RequestKeys.kt
@@ -11,9 +11,13 @@
         work.tokens?.sharedParts.orEmpty().map { partKeys.of(it.key) }
     }
 
-    /** The keys of the prompt's shared parts, and that of the whole request. */
+    /**
+     * The keys of the prompt's shared parts, that of all requests with the same content whatever their query, and that
+     * of those with the same query. The later ones are the more specific.
+     */
     val all: List<SuspectKey> by lazy(LazyThreadSafetyMode.NONE) {
         val head = request.head
-        parts + SuspectKey.ofRequest(work.customer?.id, head.method().name(), head.uri(), request.body)
+        val uris = listOf(request.path, head.uri()).distinct()
+        parts + uris.map { SuspectKey.ofRequest(work.customer?.id, head.method().name(), it, request.body) }
     }
 }
