--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -224,7 +224,7 @@
 
         private fun receiveHead(response: HttpResponse) {
             if (response.decoderResult().isFailure) return fail("malformed response head")
-            if (response.status().code() !in STATUSES) return fail("a status that is none: ${response.status().code()}")
+            if (response.status().code() !in STATUSES) return fail("invalid status ${response.status().code()}")
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 informationalResponses++
                 if (informationalResponses > MAXIMUM_INFORMATIONAL) return fail("informational responses without end")
