--- a/core/src/main/kotlin/org/heatherwind/core/crash/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/crash/CrashSuspects.kt
@@ -5,10 +5,10 @@
 /**
  * The crashes of targets under requests that had a [SuspectKey] in common, as known from all routers.
  *
- * A key that crashes every target never lets an answer begin, so an answer clears the key of earlier crashes. A key is
- * blocked after crashes at several separate moments without an answer, unless a key that is blocked already explains
- * them: the requests that share a deadly part of their prompts may share others too. Confined to one thread; bounded in
- * size.
+ * No target outlives the begin of its answer to a key that crashes it, so an answer that its target outlived clears the
+ * key of earlier crashes. A key is blocked after crashes at several separate moments without such an answer, unless a
+ * key that is blocked already explains them: the requests that share a deadly part of their prompts may share others
+ * too. Confined to one thread; bounded in size.
  */
 public class CrashSuspects {
     private val suspects = LinkedHashMap<SuspectKey, Suspect>()
--- a/core/src/test/kotlin/org/heatherwind/core/escrow/UsableGrantTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/escrow/UsableGrantTest.kt
@@ -61,13 +61,8 @@
 
             Outcome.REJECTED -> grant.withdraw()
 
-            Outcome.DONE_LATER -> {
-                open += OpenUpdate(readVersion, update.planned, isDone = true)
-                grant.recordUnknown()
-            }
-
-            Outcome.NEVER_DONE -> {
-                open += OpenUpdate(readVersion, update.planned, isDone = false)
+            Outcome.DONE_LATER, Outcome.NEVER_DONE -> {
+                open += OpenUpdate(readVersion, update.planned, isDone = update.outcome == Outcome.DONE_LATER)
                 grant.recordUnknown()
             }
         }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/UnconfirmedGrantsTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/UnconfirmedGrantsTest.kt
@@ -3,8 +3,8 @@
 import kotlinx.collections.immutable.persistentListOf
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
-import kotlinx.coroutines.yield
 import org.heatherwind.core.escrow.BudgetHolding
 import org.heatherwind.core.escrow.GrantPolicy
 import org.heatherwind.core.fleet.Customer
@@ -15,15 +15,14 @@
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.gateway.store.AppendCondition
-import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.store.NewRecord
 import org.heatherwind.gateway.store.RecordStore
 import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.store.StreamPartition
-import org.heatherwind.gateway.store.StreamRead
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.GatewayMetrics
 import org.junit.jupiter.api.Test
+import kotlin.random.Random
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
@@ -48,7 +47,7 @@
     @Test
     fun `given a return without a response when more is asked for then it is usable only once it is stored`() =
         runTest {
-            val store = ScriptedStore()
+            val store = ScriptedStore(MemoryRecordStore(MemoryRecords(), Random(1), this, faultProbability = 0.0))
             val budget = CustomerBudget(
                 customer.id,
                 BudgetHolding(now),
@@ -65,7 +64,7 @@
 
             val answer = CompletableDeferred<StreamAppend>().also { store.answer = it }
             val update = async { updater.update(budget, neededTokens = 12_000, isAwaited = true) }
-            while (store.appends < 3) yield()
+            while (store.appends < 3) delay(1)
             assertEquals(returned, budget.holding.grantedTokens, "while the store may hold $returned tokens")
 
             answer.complete(StreamAppend.Appended(store.appends.toLong()))
@@ -73,35 +72,19 @@
             assertTrue(budget.holding.grantedTokens in 12_000 until 26_000)
         }
 
-    /** Answers appends as told, and stores only those that it confirms at once. */
-    private class ScriptedStore : RecordStore {
-        private val records = ArrayList<NewRecord>()
+    /** A store whose appends have the outcome [answer], as soon as it is known, instead of taking effect. */
+    private class ScriptedStore(private val store: RecordStore) : RecordStore by store {
         var answer: CompletableDeferred<StreamAppend>? = null
         var appends = 0
             private set
 
-        override suspend fun newest(partition: StreamPartition): StreamRead = read(partition, from = 0)
-
-        override suspend fun read(
-            partition: StreamPartition,
-            from: Long,
-            waitMilliseconds: Long,
-            maximumKilobytes: Int,
-        ): StreamRead = StreamRead.Records(
-            records.mapIndexed { offset, record -> KeyedRecord(offset.toLong(), record.key, record.value) }
-                .drop(from.toInt()),
-            records.size.toLong(),
-        )
-
         override suspend fun append(
             partition: StreamPartition,
             records: List<NewRecord>,
             condition: AppendCondition,
         ): StreamAppend {
             appends++
-            answer?.let { return it.await() }
-            this.records += records
-            return StreamAppend.Appended(this.records.size.toLong())
+            return answer?.await() ?: store.append(partition, records, condition)
         }
     }
 
