Reject deeply nested JSON before it is parsed

Callers saw (report of another operator): an entry nested thousands of levels deep stood in the list of targets; all processes were restarted, and almost no request was served while it stood.

Cause: the parser recurses once a level. Its own limit of 400 levels is not reached on the stacks of 256 KB that the deployed command has: the parse overflows first. StackOverflowError is no RuntimeException, so the task that follows the list ended, the list counted as never read, and the router never got ready. OddEntriesTest runs on larger stacks and could not show this.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerClient.kt
@@ -4,9 +4,9 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.heatherwind.gateway.document.BoundedJson
 import org.heatherwind.gateway.http.CallResult
 import org.heatherwind.gateway.http.SimpleHttpClient
-import org.heatherwind.gateway.state.versionedJson
 import org.heatherwind.gateway.telemetry.DecisionLog
 import java.net.InetSocketAddress
 
@@ -35,7 +35,7 @@
             is CallResult.NoResponse -> logFailure(peer, path, result.reason)
 
             is CallResult.Responded -> try {
-                versionedJson.decodeFromString(responseSerializer, result.body.decodeToString())
+                BoundedJson.decode(responseSerializer, result.body.decodeToString())
             } catch (_: SerializationException) {
                 logFailure(peer, path, "response of status ${result.status} cannot be parsed")
             }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerServer.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PeerServer.kt
@@ -6,9 +6,9 @@
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.heatherwind.gateway.document.BoundedJson
 import org.heatherwind.gateway.http.SimpleHttpListener
 import org.heatherwind.gateway.http.SimpleResponse
-import org.heatherwind.gateway.state.versionedJson
 import java.net.InetSocketAddress
 
 /**
@@ -26,7 +26,7 @@
     /** Returns the JSON response to the JSON request [text], or null if [text] cannot be parsed. */
     fun responseTo(text: String): String? {
         val request = try {
-            versionedJson.decodeFromString(requestSerializer, text)
+            BoundedJson.decode(requestSerializer, text)
         } catch (_: SerializationException) {
             return null
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/peer/PlacementAnnouncements.kt
@@ -17,6 +17,7 @@
 import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.core.work.PromptPart
 import org.heatherwind.core.work.TokenDemand
+import org.heatherwind.gateway.document.BoundedJson
 import org.heatherwind.gateway.telemetry.DecisionLog
 import java.net.InetSocketAddress
 
@@ -73,7 +74,7 @@
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             val text = packet.content().toString(Charsets.UTF_8)
             try {
-                recordAnnouncement(json.decodeFromString(PlacementAnnouncement.serializer(), text), packet.sender())
+                recordAnnouncement(BoundedJson.decode(PlacementAnnouncement.serializer(), text), packet.sender())
             } catch (failure: SerializationException) {
                 log.stateChange(
                     "placement",
@@ -108,8 +109,6 @@
                 .map { Json.encodeToString(PlacementAnnouncement.serializer(), it) }
         }
 
-        /** Routers of another version may announce more. */
-        private val json = Json { ignoreUnknownKeys = true }
         private const val PERCENT = 100.0
 
         /** Shorter prefills delay other requests by less than the normal latency difference between targets. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -13,6 +13,7 @@
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.gateway.document.BoundedJson
 import org.heatherwind.gateway.store.AppendCondition
 import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.store.NewRecord
@@ -186,7 +187,7 @@
     ).encodeToByteArray()
 
     private fun decode(value: ByteArray): BudgetAllocation {
-        val record = versionedJson.decodeFromString(AllocationRecord.serializer(), value.decodeToString())
+        val record = BoundedJson.decode(AllocationRecord.serializer(), value.decodeToString())
         return BudgetAllocation(
             closedTokensAtMost = record.closedTokensAtMost,
             closedTokensAtLeast = record.closedTokensAtLeast,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -8,6 +8,7 @@
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.gateway.document.BoundedJson
 import org.heatherwind.gateway.http.socketAddressOf
 import org.heatherwind.gateway.peer.WitnessReference
 import org.heatherwind.gateway.store.KeyedRecord
@@ -172,7 +173,7 @@
         totals.clear()
         nextLiveCountAt = now
         try {
-            val report = versionedJson.decodeFromString(RouterReport.serializer(), value.decodeToString())
+            val report = BoundedJson.decode(RouterReport.serializer(), value.decodeToString())
             val earlier = latestByInstance.put(InstanceId(record.key), ReceivedReport(report, now))
             if (earlier == null) nextPossibleRoutersAt = now
             if (earlier == null && record.key == self.instance.value) recordFirstOwnReport(report, now)
