Keep reading a partition after an error in one poll

Callers saw: what NestedEntriesTest shows, a router that is never ready. The parse that overflowed was one cause; that any Error ends a reader for good is another, and made one bad record last for ever.

Cause: StreamFollower and loggingFailures caught RuntimeException. A StackOverflowError or a NoClassDefFoundError ended the task of the partition; the reads of statuses and the decisions of roll-outs caught nothing at all.

Change: both catch every failure but a cancellation, log it, and go on after the usual pause; the two tasks of roll-outs use loggingFailures.

Measured: StreamFollowerTest had 6 of 17 failures with these errors before the change (a read that fails: no record arrives later; a subscriber that fails on one: the others are lost) and has none after it. The tasks of roll-outs have no test of their own for this; RolloutFleetTest passes, 65 of 65.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/RolloutManager.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/RolloutManager.kt
@@ -19,6 +19,7 @@
 import org.heatherwind.gateway.store.RecordStore
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.GatewayMetrics
+import org.heatherwind.gateway.telemetry.loggingFailures
 import kotlin.random.Random
 
 /** Carries out roll-outs: selects targets by version, counts answers and stores phases. Confined to the event loop. */
@@ -90,7 +91,7 @@
     /** Reads statuses while a roll-out is under way, until cancelled. */
     suspend fun runStatusReads() {
         while (currentCoroutineContext().isActive) {
-            if (rollouts.isAnyOpen) statusFollower.poll()
+            log.loggingFailures(Rollouts.SUBJECT) { if (rollouts.isAnyOpen) statusFollower.poll() }
             delay(STATUS_POLLING.pauseMilliseconds)
         }
     }
@@ -99,7 +100,7 @@
     suspend fun runDecisions() {
         while (currentCoroutineContext().isActive) {
             delay(DECISION_INTERVAL_MILLISECONDS)
-            decideOnce()
+            log.loggingFailures(Rollouts.SUBJECT) { decideOnce() }
         }
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
@@ -66,13 +66,13 @@
         }
     }
 
-    @Suppress("TooGenericExceptionCaught") // Only a failure that is unknown here can get this far.
+    @Suppress("TooGenericExceptionCaught") // A stack overflow in one poll need not recur in the next.
     private suspend fun tryPoll(): Boolean = try {
         poll()
         true
     } catch (cancellation: CancellationException) {
         throw cancellation
-    } catch (failure: RuntimeException) {
+    } catch (failure: Throwable) {
         logFailure("A poll failed.", nextOffset, failure)
         false
     }
@@ -119,12 +119,12 @@
     private fun tryDeliver(first: KeyedRecord?, deliver: () -> Unit): Boolean = try {
         deliver()
         true
-    } catch (failure: RuntimeException) {
+    } catch (failure: Throwable) {
         logFailure("Records could not be processed.", first?.offset, failure)
         false
     }
 
-    private fun logFailure(sentence: String, offset: Long?, failure: RuntimeException): Unit = log.stateChange(
+    private fun logFailure(sentence: String, offset: Long?, failure: Throwable): Unit = log.stateChange(
         "stream",
         sentence,
         "partition" to partition,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/FailureLogging.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/FailureLogging.kt
@@ -11,13 +11,13 @@
         step()
     } catch (cancellation: CancellationException) {
         throw cancellation
-    } catch (failure: RuntimeException) {
+    } catch (failure: Throwable) {
         logFailure(task, failure)
     }
 }
 
 /** Logs the unexpected [failure] of one step of [task]. */
-internal fun DecisionLog.logFailure(task: String, failure: RuntimeException): Unit = stateChange(
+internal fun DecisionLog.logFailure(task: String, failure: Throwable): Unit = stateChange(
     task,
     "A step of a task failed.",
     "failure" to failure.stackTraceToString().take(MAXIMUM_TRACE_CHARACTERS),
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
@@ -91,8 +91,9 @@
     // Guards against one record that ends the reading of its partition or hides the records read with it.
     @TestFactory
     fun `given a subscriber that fails on a record when polled then the other records and later ones arrive`() =
-        listOf(true, false).map { isInSnapshot ->
-            DynamicTest.dynamicTest(if (isInSnapshot) "in the snapshot" else "in the records after it") {
+        failures.flatMap { failure -> listOf(failure to true, failure to false) }.map { (failure, isInSnapshot) ->
+            val place = if (isInSnapshot) "in the snapshot" else "in the records after it"
+            DynamicTest.dynamicTest("${failure.javaClass.simpleName} $place") {
                 runTest {
                     val bad = listOf("a" to "1", "bad" to "1", "b" to "1")
                     val store = ListStore(if (isInSnapshot) bad.toMutableList() else mutableListOf())
@@ -104,7 +105,7 @@
                         pollingPolicy = { PollingPolicy(waitMilliseconds = 0, pauseMilliseconds = 100) },
                         clock = clock,
                         log = DecisionLog(clock, GatewayMetrics()),
-                        subscriber = Recorder(received, failingKey = "bad"),
+                        subscriber = Recorder(received, failingKey = "bad", failure),
                     )
                     backgroundScope.launch { follower.run() }
                     testScheduler.advanceTimeBy(1_000)
@@ -117,11 +118,18 @@
             }
         }
 
+    private val failures = listOf(
+        IllegalArgumentException("odd response"),
+        IllegalStateException("odd state"),
+        StackOverflowError(),
+        NoClassDefFoundError("Could not initialize class"),
+    )
+
     // Guards against a failure of the store's client that ends the reading of a partition.
     @TestFactory
     fun `given a read that fails when polled again then the records arrive`(): List<DynamicTest> =
-        listOf(IllegalArgumentException("odd response"), IllegalStateException("odd state")).map { failure ->
-            DynamicTest.dynamicTest(failure.message) {
+        failures.map { failure ->
+            DynamicTest.dynamicTest(failure.javaClass.simpleName) {
                 runTest {
                     val store = ListStore(mutableListOf("a" to "1"))
                     val received = LinkedHashMap<String, String>()
@@ -144,13 +152,16 @@
             }
         }
 
-    private class Recorder(private val received: MutableMap<String, String>, private val failingKey: String? = null) :
-        StreamSubscriber {
+    private class Recorder(
+        private val received: MutableMap<String, String>,
+        private val failingKey: String? = null,
+        private val failure: Throwable? = null,
+    ) : StreamSubscriber {
         override fun onSnapshot(records: List<KeyedRecord>) = onRecords(records)
 
         override fun onRecords(records: List<KeyedRecord>) {
             records.forEach {
-                check(it.key != failingKey) { "failed on ${it.key}" }
+                if (it.key == failingKey && failure != null) throw failure
                 received[it.key] = it.value?.decodeToString().orEmpty()
             }
         }
@@ -161,7 +172,7 @@
     /** Returns one record for a read of the smallest size, as the platform's store does. */
     private class ListStore(val stored: MutableList<Pair<String, String>>) : RecordStore {
         var recordsRead = 0
-        var failure: RuntimeException? = null
+        var failure: Throwable? = null
 
         override suspend fun read(
             partition: StreamPartition,
