Read the newest records in each new era of the store

Cause: a follower kept its next offset over an outage after which the store came back from a copy. Where the operators' stream had grown to that offset again, no read failed, and the records below, among them the newest plan, were never read.

Change: the era that the store states is a typed value of each read and append. A read of another era than the follower's is dropped and the newest record of each key is read; the list of targets is then treated as after an outage, and offsets of targets' statements begin anew.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/ColdStatements.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/ColdStatements.kt
@@ -17,6 +17,11 @@
         record(milliseconds, now)
     }
 
+    /** Makes the next entry count whatever its offset, since offsets begin anew. */
+    public fun forgetOffset() {
+        offset = -1
+    }
+
     /** Records the statement, received at [now], that the target stays cold for [milliseconds]. */
     public fun record(milliseconds: Long, now: MonotonicTime) {
         until = if (milliseconds > 0) now.plusMilliseconds(milliseconds) else MonotonicTime.distantPast
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/SimpleHttpClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/SimpleHttpClient.kt
@@ -2,7 +2,9 @@
 
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
+import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import kotlinx.coroutines.withTimeoutOrNull
 import org.heatherwind.core.identity.MonotonicClock
@@ -12,7 +14,11 @@
 /** The result of a call. */
 public sealed interface CallResult {
     /** A complete response. */
-    public class Responded(public val status: Int, public val body: ByteArray) : CallResult
+    public class Responded(public val status: Int, public val body: ByteArray, private val headers: HttpHeaders) :
+        CallResult {
+        /** Returns the value of the header [name], or null if the response has none. */
+        public fun header(name: String): String? = headers[name]
+    }
 
     /** No byte of the call was sent. */
     public data class NotSent(val reason: String) : CallResult
@@ -56,9 +62,13 @@
     private suspend fun collect(connection: ClientConnection): CallResult {
         val body = ByteArrayOutputStream()
         var status = 0
+        var headers: HttpHeaders = EmptyHttpHeaders.INSTANCE
         while (true) {
             when (val part = connection.receive()) {
-                is ResponsePart.Head -> status = part.response.status().code()
+                is ResponsePart.Head -> {
+                    status = part.response.status().code()
+                    headers = part.response.headers()
+                }
 
                 is ResponsePart.Body -> {
                     part.content.readBytes(body, part.content.readableBytes())
@@ -66,7 +76,7 @@
                     if (body.size() > MAXIMUM_RESPONSE_BYTES) return CallResult.NoResponse("a response without end")
                 }
 
-                ResponsePart.End -> return CallResult.Responded(status, body.toByteArray())
+                ResponsePart.End -> return CallResult.Responded(status, body.toByteArray(), headers)
 
                 is ResponsePart.Failed -> return CallResult.NoResponse(part.reason)
             }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/CombinedSubscriber.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/CombinedSubscriber.kt
@@ -11,4 +11,6 @@
 
     override fun onCurrent(now: MonotonicTime, isReconnected: Boolean): Unit =
         subscribers.forEach { it.onCurrent(now, isReconnected) }
+
+    override fun onRestored(now: MonotonicTime): Unit = subscribers.forEach { it.onRestored(now) }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -110,6 +110,9 @@
     /** The load of [target], or null if the target is not registered. */
     fun loadOf(target: TargetId): TargetLoad? = loads[target]
 
+    /** Called when the offsets of all entries received before are void. */
+    fun forgetOffsets(): Unit = loads.values.forEach { it.coldStatements.forgetOffset() }
+
     /** Adopts the evacuations in force at [now]. Targets whose evacuation has ended are eased in. */
     fun adoptEvacuations(updated: Evacuations, now: MonotonicTime) {
         if (updated === evacuations) return
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/StreamFollower.kt
@@ -8,6 +8,7 @@
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StoreEra
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.store.StreamRead
 import org.heatherwind.gateway.telemetry.DecisionLog
@@ -22,6 +23,12 @@
 
     /** Called after a successful read at [now]. [isReconnected] is true if the store was unreachable before. */
     fun onCurrent(now: MonotonicTime, isReconnected: Boolean)
+
+    /**
+     * Called before a snapshot that was read at [now], if the store came back from a copy since the last read. Offsets
+     * received before are void, and what was stored lately may be missing until it is written again.
+     */
+    fun onRestored(now: MonotonicTime): Unit = Unit
 }
 
 /**
@@ -43,7 +50,7 @@
 
 /**
  * Polls one partition: reads the newest record of each key first, then the records that are added. If records expired
- * before they were read, starts again with the newest ones.
+ * before they were read, or a new era of the store began, starts again with the newest ones.
  */
 internal class StreamFollower(
     private val store: RecordStore,
@@ -54,6 +61,9 @@
     private val subscriber: StreamSubscriber,
 ) {
     private var nextOffset: Long? = null
+
+    /** The era of [nextOffset], or null until the first read. */
+    private var era: StoreEra? = null
     private var unreachableSince: MonotonicTime? = null
     private var isLastReadLarge = false
 
@@ -83,20 +93,23 @@
         val from = nextOffset.takeUnless { pollingPolicy.isNewestOnly }
         isLastReadLarge = false
         val added = from?.let { readAdded(it, pollingPolicy) }
-        val isSnapshot = added == null || (pollingPolicy.isSkippingReplaced && hasMore(added))
+        val isSnapshot =
+            added == null || isOfOtherEra(added) || (pollingPolicy.isSkippingReplaced && hasMore(added))
         val read = if (added == null || isSnapshot) store.newest(partition) else added
         when (read) {
             is StreamRead.Records -> {
                 isLastReadLarge = read.records.sumOf { it.value?.size ?: 0 } > LARGE_BYTES
+                beginEra(read)
                 deliver(read.records, isSnapshot)
+                recordReachable(read)
                 nextOffset = read.nextOffset
-                recordReachable()
             }
 
             StreamRead.Expired -> {
                 log.stateChange(
                     "stream",
                     "Records of $partition expired before they were read; reading the newest ones.",
+                    "nextOffset" to nextOffset,
                 )
                 nextOffset = null
             }
@@ -105,6 +118,25 @@
         }
     }
 
+    private fun isOfOtherEra(read: StreamRead): Boolean = read is StreamRead.Records && read.era != era
+
+    /** Notes the era of [read], which is a snapshot if the era is another one. */
+    private fun beginEra(read: StreamRead.Records) {
+        val known = era
+        era = read.era
+        if (known == null || known == read.era) return
+        log.stateChange(
+            "stream",
+            "The store came back from a copy; read the newest records.",
+            "partition" to partition,
+            "knownEra" to known,
+            "era" to read.era,
+            "nextOffset" to nextOffset,
+            "endOffset" to read.endOffset,
+        )
+        subscriber.onRestored(clock.now())
+    }
+
     /** Passes [records] to the subscriber. If it fails, passes them one by one, without those that it fails on. */
     private fun deliver(records: List<KeyedRecord>, isSnapshot: Boolean) {
         val deliverAll = { all: List<KeyedRecord> ->
@@ -146,7 +178,7 @@
 
     private fun hasMore(read: StreamRead): Boolean = read is StreamRead.Records && read.nextOffset < read.endOffset
 
-    private fun recordReachable() {
+    private fun recordReachable(read: StreamRead.Records) {
         val now = clock.now()
         val since = unreachableSince
         unreachableSince = null
@@ -155,6 +187,9 @@
                 "store",
                 "The store is reachable again for $partition.",
                 "outOfReachMilliseconds" to now.millisecondsSince(since),
+                "era" to read.era,
+                "nextOffset" to nextOffset,
+                "endOffset" to read.endOffset,
             )
         }
         subscriber.onCurrent(now, isReconnected = since != null)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetSubscriber.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/TargetSubscriber.kt
@@ -86,6 +86,12 @@
         state.adoptDirectory(directory.withoutExpiredRemovals(now), now)
     }
 
+    /** The copy may lack entries of live targets, or have older ones, until the targets write theirs again. */
+    override fun onRestored(now: MonotonicTime) {
+        state.adoptDirectory(state.directory.withContactRegained(now), now)
+        state.forgetOffsets()
+    }
+
     private fun parse(record: KeyedRecord): TargetEntry? {
         val value = record.value ?: return null
         return when (val parsed = documents.readTarget(record.key, value)) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/store/RecordStore.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/store/RecordStore.kt
@@ -21,14 +21,16 @@
      * @property records the records in the order of their offsets
      * @property nextOffset the offset after the last record read
      * @property endOffset the offset after the last record in the partition
+     * @property era the era of the offsets
      */
     public class Records(
         public val records: List<KeyedRecord>,
         public val nextOffset: Long,
         public val endOffset: Long = nextOffset,
+        public val era: StoreEra = StoreEra.Unstated,
     ) : StreamRead
 
-    /** The records at the requested offset have expired. */
+    /** The records at the requested offset have expired, or the partition ends before it in the store's present era. */
     public data object Expired : StreamRead
 
     /** The store did not respond within the timeout, or rejected the call. */
@@ -52,8 +54,8 @@
 
 /** The outcome of an append. */
 public sealed interface StreamAppend {
-    /** The records are stored; the partition now ends at [endOffset]. */
-    public data class Appended(val endOffset: Long) : StreamAppend
+    /** The records are stored; the partition now ends at [endOffset], an offset of [era]. */
+    public data class Appended(val endOffset: Long, val era: StoreEra = StoreEra.Unstated) : StreamAppend
 
     /** The condition did not hold; nothing was stored. */
     public data object Conflict : StreamAppend
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/StreamFollowerTest.kt
@@ -10,6 +10,7 @@
 import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.store.NewRecord
 import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StoreEra
 import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.store.StreamRead
@@ -152,13 +153,64 @@
             }
         }
 
+    private class EraCase(val name: String, val known: StoreEra, val next: StoreEra, val isRestored: Boolean)
+
+    private val eraCases = listOf(
+        EraCase("the same", StoreEra.Numbered(1), StoreEra.Numbered(1), isRestored = false),
+        EraCase("never stated", StoreEra.Unstated, StoreEra.Unstated, isRestored = false),
+        EraCase("the next", StoreEra.Numbered(1), StoreEra.Numbered(2), isRestored = true),
+        EraCase("after the next", StoreEra.Numbered(1), StoreEra.Numbered(3), isRestored = true),
+        EraCase("lower than the known one", StoreEra.Numbered(2), StoreEra.Numbered(1), isRestored = true),
+        EraCase("no longer stated", StoreEra.Numbered(1), StoreEra.Unstated, isRestored = true),
+        EraCase("stated from now on", StoreEra.Unstated, StoreEra.Numbered(1), isRestored = true),
+    )
+
+    // Guards against records that are never read because offsets are given out again, whatever era the store states.
+    @TestFactory
+    fun `given offsets of another era when polled then the newest records are read again`(): List<DynamicTest> =
+        eraCases.map { case ->
+            DynamicTest.dynamicTest(case.name) {
+                runTest {
+                    val store = ListStore(mutableListOf("a" to "1", "b" to "1"))
+                    store.era = case.known
+                    val received = LinkedHashMap<String, String>()
+                    val recorder = Recorder(received)
+                    val clock = MonotonicClock { MonotonicTime(currentTime) }
+                    val follower = StreamFollower(
+                        store = store,
+                        partition = StreamPartition("targets"),
+                        pollingPolicy = { PollingPolicy(waitMilliseconds = 0, pauseMilliseconds = 100) },
+                        clock = clock,
+                        log = DecisionLog(clock, GatewayMetrics()),
+                        subscriber = recorder,
+                    )
+                    follower.poll()
+                    store.era = case.next
+                    if (case.isRestored) store.stored[0] = "a" to "2"
+                    follower.poll()
+                    assertEquals(mapOf("a" to if (case.isRestored) "2" else "1", "b" to "1"), received)
+                    assertEquals(if (case.isRestored) 1 else 0, recorder.restores)
+                    store.stored += "c" to "1"
+                    follower.poll()
+                    assertEquals("1", received["c"])
+                    assertEquals(if (case.isRestored) 1 else 0, recorder.restores)
+                }
+            }
+        }
+
     private class Recorder(
         private val received: MutableMap<String, String>,
         private val failingKey: String? = null,
         private val failure: Throwable? = null,
     ) : StreamSubscriber {
+        var restores = 0
+
         override fun onSnapshot(records: List<KeyedRecord>) = onRecords(records)
 
+        override fun onRestored(now: MonotonicTime) {
+            restores++
+        }
+
         override fun onRecords(records: List<KeyedRecord>) {
             records.forEach {
                 if (it.key == failingKey && failure != null) throw failure
@@ -173,6 +225,7 @@
     private class ListStore(val stored: MutableList<Pair<String, String>>) : RecordStore {
         var recordsRead = 0
         var failure: Throwable? = null
+        var era: StoreEra = StoreEra.Unstated
 
         override suspend fun read(
             partition: StreamPartition,
@@ -184,14 +237,14 @@
             val all = stored.drop(from.toInt()).mapIndexed { index, (key, value) -> record(from + index, key, value) }
             val read = if (maximumKilobytes == 1) all.take(1) else all
             recordsRead += read.size
-            return StreamRead.Records(read, from + read.size, stored.size.toLong())
+            return StreamRead.Records(read, from + read.size, stored.size.toLong(), era)
         }
 
         override suspend fun newest(partition: StreamPartition): StreamRead {
             failure?.let { throw it }
             val latest = stored.withIndex().associate { (offset, pair) -> pair.first to record(offset.toLong(), pair) }
             recordsRead += latest.size
-            return StreamRead.Records(latest.values.toList(), stored.size.toLong())
+            return StreamRead.Records(latest.values.toList(), stored.size.toLong(), era = era)
         }
 
         override suspend fun append(
