Connect to targets through other routers while cut off from all of them

Cause: a router served requests over its own links only, and took their loss for failures of targets; where connections are reset and refused, even for crashes that requests cause.

Change: TargetReach (core) tells a cut of the router's own links from failed targets; TargetConnector opens connections through another router's RelayServer then, which passes on bytes and knows nothing of requests, so that tokens, attempts and retries are counted by one router as before. Frames tell a target's end of a connection from a relay's. Reports offer the relay. A planned stop waits for tunnels.

Measured: CutOffRouterTest fails 6 of 6 (in 96 s) without the change and passes 6 of 6 with it; RelayServerTest 13 of 13, TargetReachTest 7 of 7.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -49,6 +49,7 @@
 import org.heatherwind.gateway.peer.StoreCeilingsResponse
 import org.heatherwind.gateway.peer.WitnessClient
 import org.heatherwind.gateway.protocol.CallerProtocol
+import org.heatherwind.gateway.relay.RelayServer
 import org.heatherwind.gateway.rollout.RolloutManager
 import org.heatherwind.gateway.serve.RequestServer
 import org.heatherwind.gateway.serve.ServeContext
@@ -118,7 +119,14 @@
     private val storeCalls = StoreCallCounter(documents, metrics, log)
     private val store = storeCalls.counted(store)
     private val stopped = CompletableDeferred<Unit>()
-    private val client = TargetClient(eventLoop, clock)
+    private val client: TargetClient = TargetClient(eventLoop, clock, log, metrics) { peerReports.relayAddresses() }
+    private val relayServer = RelayServer(
+        group = group,
+        log = log,
+        isOffered = { isRelayOffered },
+        isTarget = { state.isTargetAddress(it) },
+        onAnswer = { metrics.countTunnel(it.name.lowercase()) },
+    )
     private val peerClient = PeerClient(SimpleHttpClient(eventLoop, clock), log)
     private val witnessClient = WitnessClient(peerClient)
     private val peerReports: PeerReports = PeerReports(
@@ -165,6 +173,7 @@
         witnesses = witnessClient,
         crashes = crashEvidence::reports,
         rolloutReports = rollouts::reports,
+        relayAddress = { settings.relayAddress.takeIf { isRelayOffered } },
     )
     private val ceilingWitness = CeilingWitness(self)
     private val retries = RetryThrottles(
@@ -239,6 +248,9 @@
 
     private val isDraining: Boolean get() = plannedStop.get() != null
 
+    /** Whether this router connects others to targets at present. */
+    private val isRelayOffered: Boolean get() = !isDraining && !client.isCutOff && state.isReady
+
     /** Connections that callers opened since the start. */
     public val acceptedConnections: Long get() = listener.acceptedCount
 
@@ -251,6 +263,7 @@
             PeerServer(group, peerEndpoints()).listen(address)
             announcements.listen(address)
         }
+        settings.relayAddress?.let { relayServer.listen(it) }
         val callerAddress = listener.listen(settings.callerAddress)
         registerGauges()
         follow(
@@ -275,6 +288,7 @@
             })
         }
         scope.launch { reports.runWitnessUpdates() }
+        scope.launch { client.runProbes { state.targetAddresses } }
         scope.launch { rollouts.runStatusReads() }
         scope.launch { rollouts.runDecisions() }
         scope.launch { runMaintenance() }
@@ -311,7 +325,7 @@
             log.process("Draining.", "open" to listener.busyCount)
             delay(stop.removedAt.millisecondsSince(requestedAt))
             listener.stopListening()
-            while (listener.neededCount(clock.now()) > 0 && clock.now() < stop.endsAt) {
+            while (isNeeded() && clock.now() < stop.endsAt) {
                 listener.closeIdle(clock.now())
                 delay(DRAIN_POLL_INTERVAL_MILLISECONDS)
             }
@@ -328,6 +342,9 @@
         }
     }
 
+    /** Whether callers of this router, or of others through it, may still wait for answers. */
+    private fun isNeeded(): Boolean = listener.neededCount(clock.now()) > 0 || relayServer.tunnelCount > 0
+
     /** Ends the requests in progress and waits until their answers are sent. */
     private suspend fun endRequests() {
         if (listener.busyCount == 0) return
@@ -407,6 +424,12 @@
         metrics.gauge("heatherwind_target_connections_opened", "Connections opened to targets since the start.") {
             client.openedCount.toDouble()
         }
+        metrics.gauge("heatherwind_cut_off", "Whether no target can be reached directly (0 or 1).") {
+            if (client.isCutOff) 1.0 else 0.0
+        }
+        metrics.gauge("heatherwind_open_tunnels", "Connections of other routers to targets through this one.") {
+            relayServer.tunnelCount.toDouble()
+        }
         metrics.gauge("heatherwind_admission_waiting", "Requests that wait at the router for a target.") {
             waitingRooms.size.toDouble()
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewaySettings.kt
@@ -18,6 +18,7 @@
  * @property coldOverage factor by which the requests per second of a cold target may exceed what it bears
  * @property coldSlack requests that a cold target may get beside that in any second
  * @property evacuationMilliseconds time from the order to evacuate a data centre until its targets get no more requests
+ * @property relayAddress address on which this router connects others to targets, or null if it does not
  */
 public data class GatewaySettings(
     val instance: InstanceId,
@@ -37,6 +38,7 @@
     val coldOverage: Double = 1.0,
     val coldSlack: Double = 0.0,
     val evacuationMilliseconds: Long = 5_000,
+    val relayAddress: InetSocketAddress? = null,
 )
 
 /**
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -24,6 +24,7 @@
 import kotlinx.coroutines.selects.select
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
+import org.heatherwind.gateway.relay.TunnelFrames
 import kotlinx.coroutines.channels.Channel as Queue
 
 /** The parts of a response, in the order in which the peer sends them. */
@@ -41,7 +42,9 @@
     class Failed(val reason: String) : ResponsePart
 }
 
-/** One connection to a target, a router or the store, for one request at a time. Confined to its event loop. */
+/**
+ * One connection to a target, a router or the store, for one request at a time. Confined to its event loop.
+ */
 internal class ClientConnection(val channel: Channel, private val clock: MonotonicClock) {
     private val parts = Queue<ResponsePart>(Queue.UNLIMITED) { if (it is ResponsePart.Body) it.content.release() }
 
@@ -55,6 +58,9 @@
     /** Null if the connection had ended before this was created. */
     private val decoder: ResponseDecoder? = channel.pipeline().get(ResponseDecoder::class.java)
 
+    /** Whether the connection leads through another router. */
+    val isRelayed: Boolean = channel.pipeline().get(TunnelFrames.EndReader::class.java) != null
+
     /** Whether the current response states where it ends; others end with the connection. */
     var isResponseFramed = true
         private set
@@ -100,7 +106,9 @@
     val hasArrivedParts: Boolean get() = isOpen && !parts.isEmpty
 
     init {
-        channel.pipeline().addFirst(RawReader())
+        // A relayed connection has decoders of its own before that of the response.
+        channel.pipeline().context(ResponseDecoder::class.java)
+            ?.let { channel.pipeline().addBefore(it.name(), null, RawReader()) }
         channel.pipeline().addLast(ResponseReader())
         if (!channel.isActive) parts.close()
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
@@ -8,7 +8,6 @@
 import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpRequestEncoder
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
@@ -27,7 +26,7 @@
         Bootstrap().group(eventLoop).channel(NioSocketChannel::class.java)
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(ResponseDecoder(decoderConfig()), HttpRequestEncoder())
+                    channel.pipeline().addLast(ResponseDecoder(), HttpRequestEncoder())
                 }
             }),
     )
@@ -91,6 +90,11 @@
         idle.remove(address)?.forEach { it.close() }
     }
 
+    /** Closes all idle connections. */
+    fun closeAllIdle() {
+        idle.keys.toList().forEach { closeIdle(it) }
+    }
+
     /** Closes idle connections that were last used before [before]. */
     fun closeUnused(before: MonotonicTime) {
         idle.values.forEach { pooled ->
@@ -101,12 +105,7 @@
         idle.values.removeIf { it.isEmpty() }
     }
 
-    private fun decoderConfig() = HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEADER_BYTES)
-
     private companion object {
-        /** A head takes about ten times its size in memory while it is decoded. */
-        const val MAXIMUM_HEADER_BYTES = 16_384
-
         /** More concurrent requests to one address are rare. */
         const val MAXIMUM_IDLE_PER_ADDRESS = 16
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ResponseDecoder.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ResponseDecoder.kt
@@ -9,7 +9,9 @@
 import io.netty.handler.codec.http.LastHttpContent
 
 /** Decodes the responses to one request at a time, and knows whether bytes of a further response have arrived. */
-internal class ResponseDecoder(config: HttpDecoderConfig) : HttpResponseDecoder(config) {
+internal class ResponseDecoder(
+    config: HttpDecoderConfig = HttpDecoderConfig().setMaxHeaderSize(MAXIMUM_HEADER_BYTES),
+) : HttpResponseDecoder(config) {
     private var isWithinResponse = false
 
     /** The method of the current request; responses to HEAD have no body, whatever their headers state. */
@@ -31,4 +33,9 @@
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         requestMethod == HttpMethod.HEAD || super.isContentAlwaysEmpty(message)
+
+    private companion object {
+        /** A head takes about ten times its size in memory while it is decoded. */
+        const val MAXIMUM_HEADER_BYTES = 16_384
+    }
 }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/SocketOptions.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/SocketOptions.kt
@@ -1,6 +1,7 @@
 package org.heatherwind.gateway.http
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.nio.NioChannelOption
@@ -32,6 +33,15 @@
         return bootstrap
     }
 
+    /** Applies the options to accepted connections. */
+    fun applyTo(bootstrap: ServerBootstrap): ServerBootstrap = bootstrap
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.SO_KEEPALIVE, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, boundedReads())
+        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
+        .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+
     /** Bounds what one connection may take of a turn of the event loop, which all connections share. */
     private fun boundedReads() =
         AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES).maxMessagesPerRead(1)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/FleetState.kt
@@ -13,6 +13,7 @@
 import org.heatherwind.core.target.Evacuations
 import org.heatherwind.core.target.TargetDirectory
 import org.heatherwind.core.target.TargetEntry
+import java.net.InetSocketAddress
 import kotlin.random.Random
 
 /**
@@ -77,6 +78,7 @@
             .forEach { removed[it.entry.id] = it.toHistory() }
         loads.keys.retainAll(updated.entries.keys)
         updated.entries.values.forEach { adoptEntry(it, now) }
+        targetAddresses = updated.entries.values.mapTo(HashSet()) { InetSocketAddress(it.host, it.port) }
     }
 
     private fun adoptEntry(entry: TargetEntry, now: MonotonicTime) {
@@ -107,6 +109,13 @@
         get() = loads.values.groupBy { it.entry.service.value }
             .mapValues { (_, targets) -> targets.count { it.pace.isLimited }.toDouble() }
 
+    /** Addresses of the registered targets. */
+    var targetAddresses: Set<InetSocketAddress> = emptySet()
+        private set
+
+    /** Returns whether a registered target has [address]. */
+    fun isTargetAddress(address: InetSocketAddress): Boolean = address in targetAddresses
+
     /** The load of [target], or null if the target is not registered. */
     fun loadOf(target: TargetId): TargetLoad? = loads[target]
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -124,6 +124,11 @@
         .filter { it.report.incarnation != self.value && !it.report.isDraining }
         .mapNotNull { it.peerAddress }
 
+    /** Addresses at which other live routers connect to targets on request. */
+    fun relayAddresses(): List<InetSocketAddress> = latestByInstance.values
+        .filter { it.report.incarnation != self.value && !it.report.isDraining && isFresh(it) }
+        .mapNotNull { it.relayAddress }
+
     private fun isFresh(received: ReceivedReport): Boolean = ageMilliseconds(received) < LIVENESS_TIMEOUT_MILLISECONDS
 
     private fun wasHeardOf(received: ReceivedReport): Boolean = ageMilliseconds(received) < FORGETTING_MILLISECONDS
@@ -196,6 +201,7 @@
 
     private class ReceivedReport(val report: RouterReport, val receivedAt: MonotonicTime) {
         val peerAddress: InetSocketAddress? = report.peerAddress?.let { socketAddressOf(it) }
+        val relayAddress: InetSocketAddress? = report.relayAddress?.let { socketAddressOf(it) }
         val incarnation = Incarnation(report.incarnation)
     }
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/ReportPublisher.kt
@@ -62,6 +62,7 @@
     private val witnesses: WitnessService,
     private val crashes: () -> List<CrashReport> = { emptyList() },
     private val rolloutReports: () -> Map<String, RolloutReport> = { emptyMap() },
+    private val relayAddress: () -> InetSocketAddress? = { null },
 ) {
     /** The source of the budgets in reports. */
     lateinit var budgets: BudgetReportSource
@@ -199,6 +200,7 @@
             },
             isDraining = isLeaving(),
             peerAddress = peerAddress?.hostAndPort,
+            relayAddress = relayAddress()?.hostAndPort,
             witness = peerReports.selectWitness(confirmedWitness),
             crashes = crashes(),
             rollouts = rolloutReports(),
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/RouterReport.kt
@@ -25,6 +25,7 @@
  * @property predecessors bounds on the charges of predecessors whose grants are open, by incarnation and customer
  * @property isDraining whether the router drains and accepts no new callers
  * @property peerAddress IP address and port for calls of other routers, as `host:port`
+ * @property relayAddress where the router connects others to targets, as `host:port`, or null if it does not at present
  * @property witness the router that stores its ceilings while the store is unreachable
  * @property crashes crashes of targets that the process, or a predecessor, observed
  * @property rollouts counters of the answers of both versions, by service with a roll-out under way
@@ -39,6 +40,7 @@
     val predecessors: Map<String, Map<String, ChargeReport>> = emptyMap(),
     @SerialName("isLeaving") val isDraining: Boolean = false,
     val peerAddress: String? = null,
+    val relayAddress: String? = null,
     val witness: WitnessReference? = null,
     val crashes: List<CrashReport> = emptyList(),
     val rollouts: Map<String, RolloutReport> = emptyMap(),
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/telemetry/GatewayMetrics.kt
@@ -56,6 +56,14 @@
     private val waits = Histogram.builder().name("heatherwind_admission_wait_seconds")
         .help("Time that requests waited at the router for a target, by service.").labelNames("service")
         .classicOnly().register(registry)
+    private val relayedConnections = Counter.builder().name("heatherwind_relayed_connections_total")
+        .help(
+            "Connections to targets through other routers, by outcome (open, refused, unreached, declined, no answer).",
+        )
+        .labelNames("outcome").register(registry)
+    private val tunnels = Counter.builder().name("heatherwind_tunnels_total")
+        .help("Connections to targets that other routers asked for, by answer (open, refused, unreached, declined).")
+        .labelNames("answer").register(registry)
     private val storeCalls = Counter.builder().name("heatherwind_store_calls_total")
         .help("Calls to the store, by purpose and outcome (done, conflict, failed).")
         .labelNames("purpose", "outcome").register(registry)
@@ -64,6 +72,12 @@
     private val droppedLines = Counter.builder().name("heatherwind_log_lines_dropped_total")
         .help("Log lines dropped at the rate limit.").register(registry)
 
+    /** Counts a connection to a target through another router, by its [outcome]. */
+    public fun countRelayed(outcome: String): Unit = relayedConnections.labelValues(outcome).inc()
+
+    /** Counts the [answer] to another router that asked for a connection to a target. */
+    public fun countTunnel(answer: String): Unit = tunnels.labelValues(answer).inc()
+
     /** Counts a request of [route] that ended with [code]. */
     public fun countRequest(route: String, code: ResultCode) {
         requests.labelValues(route, code.number.toString()).inc()
