Confirm the end of an unframed answer under an upload

Cause: an answer without length was whole if its upload had been written and the input had ended, but the operating systems hold megabytes that nobody has read.

Change: after the end of such an answer the router waits 100 ms and writes an empty line, which fails on a connection that was reset meanwhile; then the answer is cut. Requests without a body and framed answers are as before.

Open: a reset later than 100 ms, and one behind a relay.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -25,6 +25,7 @@
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.gateway.relay.TunnelFrames
+import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.channels.Channel as Queue
 
 /** The parts of a response, in the order in which the peer sends them. */
@@ -68,6 +69,11 @@
     /** Whether the current response began before its request was written completely. */
     private var isResponseEarly = false
 
+    private var hasRequestBody = false
+
+    /** Whether an unframed response has ended that [ResponseReader.confirmEnd] has not confirmed yet. */
+    private var isEndUnconfirmed = false
+
     /** Whether the peer ended the connection, as opposed to a reset or to a close by this process. */
     private var isEndedByPeer = false
 
@@ -125,6 +131,7 @@
     fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) {
         isBusy = true
         isRequestWritten = false
+        hasRequestBody = body.isNotEmpty()
         requestCount++
         receivedBytes = 0
         receivedParts = 0
@@ -227,7 +234,7 @@
 
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             if (message is HttpResponse) receiveHead(message)
-            if (message is HttpContent) receiveContent(message)
+            if (message is HttpContent) receiveContent(context, message)
         }
 
         private fun receiveHead(response: HttpResponse) {
@@ -249,7 +256,7 @@
             offer(ResponsePart.Head(response))
         }
 
-        private fun receiveContent(content: HttpContent) {
+        private fun receiveContent(context: ChannelHandlerContext, content: HttpContent) {
             if (content.decoderResult().isFailure) {
                 content.release()
                 return fail("malformed response body")
@@ -262,13 +269,37 @@
             content.release()
             if (content is LastHttpContent) {
                 // A peer that resets the upload may end its output first, and the two arrive in any order.
-                val isWhole = isResponseFramed || (isEndedByPeer && !isResponseEarly)
-                offer(if (isWhole) ResponsePart.End else ResponsePart.Failed("connection failed within the body"))
+                val isEnded = isEndedByPeer && !isResponseEarly
+                when {
+                    isResponseFramed || (isEnded && !hasRequestBody) -> offer(ResponsePart.End)
+                    isEnded -> confirmEnd(context)
+                    else -> offer(ResponsePart.Failed(CUT_BODY))
+                }
+            }
+        }
+
+        /**
+         * Ends the response if the peer does not reset the connection soon, as it does if it has not read the body of
+         * the request. That the body was written says nothing, since the operating systems hold megabytes. An empty
+         * line, which peers ignore after a request, fails on a connection that was reset.
+         */
+        private fun confirmEnd(context: ChannelHandlerContext) {
+            isEndUnconfirmed = true
+            context.executor().schedule({ writeEmptyLine(context) }, RESET_MILLISECONDS, TimeUnit.MILLISECONDS)
+        }
+
+        private fun writeEmptyLine(context: ChannelHandlerContext) {
+            // Past the encoder, which takes requests only.
+            val decoderContext = context.pipeline().context(ResponseDecoder::class.java)
+            val line = Unpooled.copiedBuffer(EMPTY_LINE, Charsets.US_ASCII)
+            decoderContext.writeAndFlush(line).addListener { written ->
+                offer(if (written.isSuccess) ResponsePart.End else ResponsePart.Failed(CUT_BODY))
+                context.close()
             }
         }
 
         override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-            if (event === ChannelInputShutdownEvent.INSTANCE) context.close()
+            if (event === ChannelInputShutdownEvent.INSTANCE && !isEndUnconfirmed) context.close()
         }
 
         override fun channelReadComplete(context: ChannelHandlerContext) {
@@ -320,6 +351,11 @@
         val NO_TRAILERS: HttpHeaders = DefaultHttpHeadersFactory.trailersFactory().newHeaders()
 
         const val CLOSED = "connection closed"
+        const val CUT_BODY = "connection failed within the body"
+        const val EMPTY_LINE = "\r\n"
+
+        /** Several times what a reset that follows the end of the output takes between data centres. */
+        const val RESET_MILLISECONDS = 100L
         const val KEEP_ALIVE = "Keep-Alive"
         const val MILLISECONDS_PER_SECOND = 1_000L
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/http/ClientConnectionTest.kt
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import java.io.IOException
+import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -77,6 +78,12 @@
 
         fun failWrites() = writes.forEach { it.tryFailure(IOException("Connection reset by peer")) }
 
+        /** Lets the time pass after which a reset would have arrived. */
+        fun awaitReset() {
+            channel.advanceTimeBy(RESET_SECONDS, TimeUnit.SECONDS)
+            channel.runScheduledPendingTasks()
+        }
+
         fun endInput() = channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
     }
 
@@ -85,6 +92,15 @@
             completeWrites()
             receive(UNFRAMED)
             endInput()
+            awaitReset()
+            completeWrites()
+        },
+        UploadCase("the upload is reset soon after the answer has ended", isComplete = false) {
+            completeWrites()
+            receive(UNFRAMED)
+            endInput()
+            awaitReset()
+            failWrites()
         },
         UploadCase("the answer begins within the upload, which is completed", isComplete = false) {
             receive(UNFRAMED)
@@ -192,6 +208,7 @@
     }
 
     private companion object {
+        const val RESET_SECONDS = 1L
         const val UNFRAMED = "HTTP/1.1 200 OK\r\n\r\npart"
         const val EARLY_HINTS = "HTTP/1.1 103 Early Hints\r\n\r\n"
         const val CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
