Keep grants that the store lost with a copy of itself

Callers would see: a customer that gets more than its prepaid tokens after the store came back from a copy.

Cause: LedgerPartition kept its next offset and its conditions over a return, and the copy's older allocations replaced what was known, so that grants that were lost were granted again to others.

Change: stored allocations have a version (era, revision, basis); VersionedAllocation (core) decides what follows from a stored and a known state. Routers store again what the store lacks, spread over 20 ms a router, raise no grant for 3 s and 40 ms a router, and state their own grants again for 10 s. An append that a new era accepts by chance counts as unknown.

Not covered: tokens of routers that die around the return, a router that starts within it.

--- a/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetAllocation.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/escrow/BudgetAllocation.kt
@@ -26,6 +26,15 @@
     public fun withGrant(holder: Incarnation, tokens: Long): BudgetAllocation =
         copy(grants = grants.put(holder, tokens))
 
+    /** Returns the smallest allocation that leaves no more tokens free than this one or [other]. */
+    public fun atLeast(other: BudgetAllocation): BudgetAllocation = BudgetAllocation(
+        closedTokensAtMost = maxOf(closedTokensAtMost, other.closedTokensAtMost),
+        closedTokensAtLeast = maxOf(closedTokensAtLeast, other.closedTokensAtLeast),
+        grants = other.grants.entries.fold(grants) { all, (holder, tokens) ->
+            all.put(holder, maxOf(tokens, all[holder] ?: 0))
+        },
+    )
+
     /** Returns this allocation with the grant of [holder] closed at [charge], whose bounds are capped at the grant. */
     public fun withClosedGrant(holder: Incarnation, charge: HolderCharge): BudgetAllocation = copy(
         closedTokensAtMost = closedTokensAtMost + minOf(charge.atMost, grantOf(holder)),
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -137,6 +137,7 @@
             crashes.receiveReport(it)
             rollouts.recordReport(it)
         },
+        onStoreRestored = { scope.launch { ledgers.storeAgain(peerReports.liveCount()) } },
     )
     private val crashEvidence = CrashEvidence(self, clock, WallClock.system::now)
     private val crashes: CrashProtection = CrashProtection(
@@ -185,7 +186,8 @@
     ) { peerReports.liveCount() }
     private val bodyMemory = MemoryLimit(settings.memoryMegabytes * BYTES_PER_MEGABYTE / BODY_MEMORY_DIVISOR)
     private val responseMemory = MemoryLimit(Runtime.getRuntime().maxMemory() / RESPONSE_MEMORY_DIVISOR)
-    private val ledgers = BudgetLedgers(this.store, settings.partitionsPerStream) { peerReports.isLargeFleet }
+    private val ledgers: BudgetLedgers =
+        BudgetLedgers(this.store, settings.partitionsPerStream, self, clock, log) { peerReports.isLargeFleet }
     private val customerOf = { id: CustomerId -> state.routes?.customerById(id) }
     private val fleetBudgets = FleetBudgetView(peerReports, customerOf)
     private val policy = GrantPolicy()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/GrantUpdater.kt
@@ -122,7 +122,7 @@
     private fun desiredGrant(budget: CustomerBudget, allocation: BudgetAllocation, neededTokens: Long): Long {
         if (budget.isClosing) return budget.holding.committedTokens
         val prepaid = customerOf(budget.id)?.prepaidTokens ?: return allocation.grantOf(self)
-        return policy.grantFor(
+        val desired = policy.grantFor(
             self,
             budget.holding,
             allocation,
@@ -132,6 +132,13 @@
             neededTokens,
             clock.now(),
         )
+        // Tokens that look free may belong to a grant that the store lost and its holder has not stored again.
+        return if (isSettling(budget)) minOf(desired, allocation.grantOf(self)) else desired
+    }
+
+    private fun isSettling(budget: CustomerBudget): Boolean {
+        val milliseconds = SETTLING_MILLISECONDS + peerReports.liveCount() * SETTLING_PER_ROUTER_MILLISECONDS
+        return budget.ledger.isSettling(clock.now(), milliseconds)
     }
 
     private fun logConflicts(budget: CustomerBudget, planned: PlannedGrant, attempts: Int): Unit = log.stateChange(
@@ -167,6 +174,12 @@
         /** Twice the interval at which routers check for surplus grants to return. */
         const val LEDGER_READ_INTERVAL_MILLISECONDS = 500L
 
+        /** Several times what routers take to notice that the store came back from a copy. */
+        const val SETTLING_MILLISECONDS = 3_000L
+
+        /** Twice the time over which routers spread what they store again. */
+        const val SETTLING_PER_ROUTER_MILLISECONDS = 40L
+
         /** About forty reads a second for each customer by all routers. */
         const val LEDGER_READ_INTERVAL_PER_ROUTER_MILLISECONDS = 25L
 
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -10,17 +10,23 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import org.heatherwind.core.escrow.AllocationVersion
 import org.heatherwind.core.escrow.BudgetAllocation
+import org.heatherwind.core.escrow.VersionedAllocation
 import org.heatherwind.core.identity.CustomerId
 import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.gateway.document.BoundedJson
 import org.heatherwind.gateway.store.AppendCondition
 import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.store.NewRecord
 import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StoreEra
 import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.store.StreamRead
+import org.heatherwind.gateway.telemetry.DecisionLog
 
 /**
  * This router's copy of one partition of the budget ledger. One call to the store is in flight at a time, since the
@@ -30,11 +36,22 @@
 internal class LedgerPartition(
     private val store: RecordStore,
     private val partition: StreamPartition,
+    private val self: Incarnation,
+    private val clock: MonotonicClock,
+    private val log: DecisionLog,
     private val isLargeFleet: () -> Boolean,
 ) {
     private val allocations = HashMap<CustomerId, BudgetAllocation>()
+    private val versions = HashMap<CustomerId, AllocationVersion>()
+
+    /** Customers whose allocation here contains more than what the store has, which came back from a copy. */
+    private val unstored = HashSet<CustomerId>()
     private var nextOffset: Long? = null
 
+    /** The era of [nextOffset], or null until the first read. */
+    private var era: StoreEra? = null
+    private var restoredAt = MonotonicTime.distantPast
+
     /** Whether an update may be tried without a read. */
     private var isCurrent = false
 
@@ -53,6 +70,17 @@
     /** The allocation of [customer] as last read. */
     fun allocationOf(customer: CustomerId): BudgetAllocation = allocations[customer] ?: NO_ALLOCATION
 
+    /**
+     * Returns whether the store came back from a copy less than [milliseconds] before [now], so that grants that it
+     * lacks may not have been stored again by the routers that hold them.
+     */
+    fun isSettling(now: MonotonicTime, milliseconds: Long): Boolean = now < restoredAt.plusMilliseconds(milliseconds)
+
+    /** Stores what the store lacks of the allocations that were known before it came back from a copy. */
+    suspend fun storeAgain(): LedgerUpdate = update { _, isFresh ->
+        if (isFresh) LedgerPlan.Store(emptyMap()) else LedgerPlan.Read
+    }
+
     /**
      * Stores what [change] plans, on the condition that its last plan is based on the newest allocations. After
      * [attempts] conflicts with other routers, gives up. If the update [isClosing] a grant because the process ends,
@@ -91,8 +119,9 @@
                 if (!isFresh) return updates.end(LedgerUpdate.Unread)
                 planned = plan(updates, isFresh = true)
             }
-            if (planned.isNullOrEmpty()) return updates.end(LedgerUpdate.Unchanged)
-            when (val append = append(planned)) {
+            val stored = unstored.associateWith { allocationOf(it) } + planned.orEmpty()
+            if (stored.isEmpty()) return updates.end(LedgerUpdate.Unchanged)
+            when (val append = append(stored)) {
                 is StreamAppend.Appended -> return updates.end(LedgerUpdate.Stored)
 
                 is StreamAppend.Rejected, is StreamAppend.Unknown ->
@@ -137,6 +166,11 @@
         val read = if (from == null) store.newest(partition) else store.read(partition, from)
         when (read) {
             is StreamRead.Records -> {
+                if (from != null && read.era != era) {
+                    nextOffset = null
+                    return refresh()
+                }
+                beginEra(read.era)
                 read.records.forEach { apply(it) }
                 if (knownOffset != null) isContended = read.nextOffset != knownOffset
                 nextOffset = read.nextOffset
@@ -160,10 +194,19 @@
     private suspend fun append(updated: Map<CustomerId, BudgetAllocation>): StreamAppend {
         val expected = nextOffset ?: return StreamAppend.Conflict
         isCurrent = false
-        val records = updated.map { (customer, allocation) -> NewRecord(customer.value, encode(allocation)) }
+        val currentEra = numberOf(era)
+        val stored = updated.mapValues { (customer, allocation) ->
+            VersionedAllocation(allocation, versionOf(customer).next(currentEra))
+        }
+        val records = stored.map { (customer, state) -> NewRecord(customer.value, encode(state)) }
         val append = store.append(partition, records, AppendCondition.EndsAt(expected))
         if (append is StreamAppend.Appended) {
-            allocations += updated
+            // The offset was given out again: what the plan was based on may be lost.
+            if (append.era != era && append.era != StoreEra.Unstated) {
+                return StreamAppend.Unknown("stored in the era ${append.era} instead of $era")
+            }
+            stored.forEach { (customer, state) -> adopt(customer, state) }
+            unstored -= stored.keys
             nextOffset = append.endOffset
             isCurrent = true
         } else if (append is StreamAppend.Conflict) {
@@ -172,26 +215,81 @@
         return append
     }
 
+    /** Notes the era of a read. In another one than before, what is known has to be compared with what is stored. */
+    private fun beginEra(current: StoreEra) {
+        val known = era
+        era = current
+        if (known == null || known == current) return
+        restoredAt = clock.now()
+        unstored += allocations.keys
+        log.stateChange(
+            "budget",
+            "The store came back from a copy; comparing allocations.",
+            "partition" to partition,
+            "knownEra" to known,
+            "era" to current,
+            "customers" to allocations.size,
+        )
+    }
+
     private fun apply(record: KeyedRecord) {
         val value = record.value ?: return
-        allocations[CustomerId(record.key)] = decode(value)
+        val customer = CustomerId(record.key)
+        val read = decode(value)
+        val known = allocations[customer]?.let { VersionedAllocation(it, versionOf(customer)) }
+        val state = known?.let { mergedWith(it, read, isKnownStored = customer !in unstored) } ?: read
+        adopt(customer, state)
+        if (state == read) unstored -= customer else unstored += customer
+    }
+
+    /**
+     * Returns what follows from [read] and [known]. For some time after a return of the store, states that lack a grant
+     * of this router may be stored by others that did not know it; this router knows best what was confirmed to it.
+     */
+    private fun mergedWith(
+        known: VersionedAllocation,
+        read: VersionedAllocation,
+        isKnownStored: Boolean,
+    ): VersionedAllocation {
+        val merged = read.mergedWith(known, numberOf(era))
+        val whole =
+            if (isKnownStored) merged else merged.copy(allocation = merged.allocation.atLeast(known.allocation))
+        val ownGrant = known.allocation.grantOf(self)
+        val isConfirmedGrantKept = whole.allocation.grantOf(self) == ownGrant
+        if (isConfirmedGrantKept || !isSettling(clock.now(), RESTATEMENT_MILLISECONDS)) return whole
+        return whole.copy(allocation = whole.allocation.withGrant(self, ownGrant))
     }
 
-    private fun encode(allocation: BudgetAllocation): ByteArray = Json.encodeToString(
+    private fun adopt(customer: CustomerId, state: VersionedAllocation) {
+        allocations[customer] = state.allocation
+        versions[customer] = state.version
+    }
+
+    private fun versionOf(customer: CustomerId): AllocationVersion = versions[customer] ?: NO_VERSION
+
+    private fun numberOf(era: StoreEra?): Long = (era as? StoreEra.Numbered)?.number ?: 0
+
+    private fun encode(state: VersionedAllocation): ByteArray = Json.encodeToString(
         AllocationRecord.serializer(),
         AllocationRecord(
-            closedTokensAtMost = allocation.closedTokensAtMost,
-            closedTokensAtLeast = allocation.closedTokensAtLeast,
-            grants = allocation.grants.mapKeys { it.key.value },
+            closedTokensAtMost = state.allocation.closedTokensAtMost,
+            closedTokensAtLeast = state.allocation.closedTokensAtLeast,
+            grants = state.allocation.grants.mapKeys { it.key.value },
+            era = state.version.era,
+            revision = state.version.revision,
+            basis = state.version.basis,
         ),
     ).encodeToByteArray()
 
-    private fun decode(value: ByteArray): BudgetAllocation {
+    private fun decode(value: ByteArray): VersionedAllocation {
         val record = BoundedJson.decode(AllocationRecord.serializer(), value.decodeToString())
-        return BudgetAllocation(
-            closedTokensAtMost = record.closedTokensAtMost,
-            closedTokensAtLeast = record.closedTokensAtLeast,
-            grants = record.grants.mapKeys { Incarnation(it.key) }.toPersistentHashMap(),
+        return VersionedAllocation(
+            BudgetAllocation(
+                closedTokensAtMost = record.closedTokensAtMost,
+                closedTokensAtLeast = record.closedTokensAtLeast,
+                grants = record.grants.mapKeys { Incarnation(it.key) }.toPersistentHashMap(),
+            ),
+            AllocationVersion(record.era, record.revision, record.basis),
         )
     }
 
@@ -201,12 +299,16 @@
      * @property closedTokensAtMost upper bound on the tokens charged by holders whose grants are closed
      * @property closedTokensAtLeast lower bound on these tokens
      * @property grants tokens granted to each holder, by its incarnation
+     * @property era see [AllocationVersion], as [revision] and [basis]
      */
     @Serializable
     private class AllocationRecord(
         @SerialName("closed") val closedTokensAtMost: Long,
         @SerialName("certain") val closedTokensAtLeast: Long,
         val grants: Map<String, Long>,
+        val era: Long = 0,
+        val revision: Long = 0,
+        val basis: Long = 0,
     )
 
     /** A [change] that waits for its [outcome]. */
@@ -216,6 +318,10 @@
 
     private companion object {
         val NO_ALLOCATION = BudgetAllocation()
+        val NO_VERSION = AllocationVersion()
+
+        /** Several times what the routers take to store again what the store lost. */
+        const val RESTATEMENT_MILLISECONDS = 10_000L
 
         /** Above about this number, reading all added records costs more than reading the newest one of each key. */
         const val MAXIMUM_HOLDERS_READ_INCREMENTALLY = 16
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/PeerReports.kt
@@ -21,6 +21,7 @@
     private val clock: MonotonicClock,
     private val log: DecisionLog,
     private val onReport: (RouterReport) -> Unit = {},
+    private val onStoreRestored: () -> Unit = {},
 ) : StreamSubscriber {
     private val latestByInstance = HashMap<InstanceId, ReceivedReport>()
     private var lastReadAt = MonotonicTime.distantPast
@@ -169,6 +170,8 @@
         records.forEach { record -> recordReport(record, now) }
     }
 
+    override fun onRestored(now: MonotonicTime): Unit = onStoreRestored()
+
     override fun onCurrent(now: MonotonicTime, isReconnected: Boolean) {
         lastReadAt = now
     }
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetHistoryTest.kt
@@ -32,6 +32,7 @@
         val isKilledWhileDisconnected: Boolean = false,
         val customers: Int = 1,
         val maximumAnswerDelayMilliseconds: Long = 0,
+        val restores: Int = 0,
     )
 
     private val cases = listOf(
@@ -75,6 +76,24 @@
             customers = 8,
             maximumAnswerDelayMilliseconds = 240,
         ),
+        // Guards against grants that the store lost and that are granted again to another router.
+        Case(
+            "a store that comes back from a copy of itself",
+            faultProbability = 0.0,
+            isStoreDisconnected = false,
+            kills = 0,
+            minimumDeliveredShare = 0.9,
+            restores = 3,
+        ),
+        Case(
+            "a store that comes back from a copy, with calls rejected, lost and delayed",
+            faultProbability = 0.1,
+            isStoreDisconnected = false,
+            kills = 0,
+            minimumDeliveredShare = 0.85,
+            customers = 3,
+            restores = 2,
+        ),
         Case(
             "kills, disconnections and store faults together",
             faultProbability = 0.15,
@@ -116,6 +135,7 @@
                 }
             }
         }
+        faultScope.launch { repeat(case.restores) { restore(records, routers, random) } }
         faultScope.launch {
             repeat(case.kills) {
                 delay(random.nextLong(8_000, 14_000))
@@ -143,6 +163,20 @@
         )
     }
 
+    /** Lets the store come back from a copy that is up to some seconds old; it is away for a moment. */
+    private suspend fun restore(records: MemoryRecords, routers: List<HistoryRouter>, random: Random) {
+        delay(random.nextLong(3_000, 12_000))
+        records.copy()
+        delay(random.nextLong(200, 5_000))
+        routers.forEach { it.router.setDisconnected(true) }
+        delay(random.nextLong(100, 1_500))
+        records.restore()
+        routers.shuffled(random).forEach {
+            it.router.setDisconnected(false)
+            delay(random.nextLong(300))
+        }
+    }
+
     private fun TestScope.newRouter(
         name: String,
         case: Case,
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/BudgetRouter.kt
@@ -47,6 +47,7 @@
     private var store: MemoryRecordStore? = null
     private var isDisconnected = false
     private var witness: CeilingWitness? = null
+    private var ledgers: BudgetLedgers? = null
 
     /** The budgets of the running process, or null if none is running. */
     var budgets: BudgetManager? = null
@@ -77,7 +78,7 @@
         val countedStore = countCalls(ownStore)
         val log = DecisionLog(clock, GatewayMetrics())
         val witnesses = PeerWitnesses()
-        val peerReports = PeerReports(self, clock, log)
+        val peerReports = PeerReports(self, clock, log, onStoreRestored = { storeAgain(processScope) })
         val predecessorCharges = PredecessorCharges(self, startedAt, witnesses, log)
         val reports = ReportPublisher(
             self = self,
@@ -91,7 +92,8 @@
             peerAddress = InetSocketAddress.createUnresolved(name, 1),
             witnesses = witnesses,
         )
-        val ledgers = BudgetLedgers(countedStore, partitions) { peerReports.isLargeFleet }
+        val ledgers = BudgetLedgers(countedStore, partitions, self, clock, log) { peerReports.isLargeFleet }
+        this.ledgers = ledgers
         val policy = GrantPolicy()
         val fleetBudgets = FleetBudgetView(peerReports, ::customerOf)
         val manager = BudgetManager(
@@ -120,14 +122,19 @@
                 }
             })
         }
-        val partition = ReportPublisher.partition
-        val follower = StreamFollower(countedStore, partition, peerReports::pollingPolicy, clock, log, peerReports)
-        processScope.launch { follower.run() }
+        processScope.launch { followerOf(countedStore, peerReports, log).run() }
         processScope.launch { reports.runWitnessUpdates() }
         processScope.launch { runMaintenance(manager) }
         return processScope
     }
 
+    private fun followerOf(store: RecordStore, reports: PeerReports, log: DecisionLog) =
+        StreamFollower(store, ReportPublisher.partition, reports::pollingPolicy, clock, log, reports)
+
+    private fun storeAgain(processScope: CoroutineScope) {
+        processScope.launch { ledgers?.storeAgain(routers = peers.size + 1) }
+    }
+
     private fun newStore() = MemoryRecordStore(
         records,
         random,
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/LedgerPartitionTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/LedgerPartitionTest.kt
@@ -7,6 +7,10 @@
 import kotlinx.coroutines.test.runTest
 import org.heatherwind.core.escrow.BudgetAllocation
 import org.heatherwind.core.identity.CustomerId
+import org.heatherwind.core.identity.Incarnation
+import org.heatherwind.core.identity.InstanceId
+import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.Timestamp
 import org.heatherwind.gateway.store.AppendCondition
 import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.store.NewRecord
@@ -14,6 +18,8 @@
 import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.store.StreamRead
+import org.heatherwind.gateway.telemetry.DecisionLog
+import org.heatherwind.gateway.telemetry.GatewayMetrics
 import org.junit.jupiter.api.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -21,11 +27,14 @@
 /** Pattern: a router of 83 stops as planned while the others update the same partition all the time. */
 @OptIn(ExperimentalCoroutinesApi::class)
 class LedgerPartitionTest {
+    private val self = Incarnation.of(InstanceId("router-84"), Timestamp(1))
+    private val clock = MonotonicClock.system
+    private val log = DecisionLog(clock, GatewayMetrics())
     private val change = LedgerChange { _, _ -> LedgerPlan.Store(mapOf(customer to BudgetAllocation())) }
 
     @Test
     fun `given conflicts when a grant is closed then the pauses fit a planned stop`() = runTest {
-        val ledger = LedgerPartition(AlwaysConflicting, StreamPartition("budgets", 0)) { true }
+        val ledger = LedgerPartition(AlwaysConflicting, StreamPartition("budgets", 0), self, clock, log) { true }
         val earlier = async { ledger.update(change = change) }
         delay(100)
         val begunAt = currentTime
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/MemoryRecordStore.kt
@@ -7,6 +7,7 @@
 import org.heatherwind.gateway.store.KeyedRecord
 import org.heatherwind.gateway.store.NewRecord
 import org.heatherwind.gateway.store.RecordStore
+import org.heatherwind.gateway.store.StoreEra
 import org.heatherwind.gateway.store.StreamAppend
 import org.heatherwind.gateway.store.StreamPartition
 import org.heatherwind.gateway.store.StreamRead
@@ -16,6 +17,32 @@
 internal class MemoryRecords {
     private val partitions = HashMap<StreamPartition, MutableList<NewRecord>>()
     private val producers = HashMap<Pair<StreamPartition, String>, Producer>()
+    private var copiedPartitions = emptyMap<StreamPartition, List<NewRecord>>()
+    private var copiedProducers = emptyMap<Pair<StreamPartition, String>, Pair<Long, Long>>()
+
+    /** Rises with each [restore]. */
+    var era = StoreEra.Numbered(1)
+        private set
+
+    /** Remembers all records, for [restore]. */
+    fun copy() {
+        copiedPartitions = partitions.mapValues { it.value.toList() }
+        copiedProducers = producers.mapValues { it.value.epoch to it.value.sequence }
+    }
+
+    /** Comes back from the last copy. */
+    fun restore() {
+        partitions.clear()
+        copiedPartitions.forEach { (partition, records) -> partitions[partition] = records.toMutableList() }
+        producers.clear()
+        copiedProducers.forEach { (key, state) ->
+            producers[key] = Producer().apply {
+                epoch = state.first
+                sequence = state.second
+            }
+        }
+        era = StoreEra.Numbered(era.number + 1)
+    }
 
     fun of(partition: StreamPartition): MutableList<NewRecord> = partitions.getOrPut(partition) { mutableListOf() }
 
@@ -28,7 +55,7 @@
                 val producer = producers.getOrPut(partition to condition.producer) { Producer() }
                 if (condition.epoch < producer.epoch) return StreamAppend.Conflict
                 if (condition.epoch == producer.epoch) {
-                    if (condition.sequence == producer.sequence) return StreamAppend.Appended(stored.size.toLong())
+                    if (condition.sequence == producer.sequence) return StreamAppend.Appended(stored.size.toLong(), era)
                     if (condition.sequence != producer.sequence + 1) {
                         return StreamAppend.OutOfSequence(producer.sequence + 1)
                     }
@@ -38,7 +65,7 @@
             }
         }
         stored += records
-        return StreamAppend.Appended(stored.size.toLong())
+        return StreamAppend.Appended(stored.size.toLong(), era)
     }
 
     private class Producer {
@@ -73,11 +100,13 @@
         awaitConnection()
         if (isDisconnected || random.nextDouble() < faultProbability) return unavailable()
         val stored = records.of(partition)
+        if (from > stored.size) return StreamRead.Expired
         return StreamRead.Records(
             stored.drop(from.toInt()).mapIndexed { index, record ->
                 KeyedRecord(from + index, record.key, record.value)
             },
             stored.size.toLong(),
+            era = records.era,
         )
     }
 
@@ -93,7 +122,7 @@
             latest[record.key] =
                 KeyedRecord(offset.toLong(), record.key, record.value)
         }
-        return StreamRead.Records(latest.values.toList(), stored.size.toLong())
+        return StreamRead.Records(latest.values.toList(), stored.size.toLong(), era = records.era)
     }
 
     override suspend fun append(
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/state/UnconfirmedGrantsTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/state/UnconfirmedGrantsTest.kt
@@ -51,7 +51,7 @@
             val budget = CustomerBudget(
                 customer.id,
                 BudgetHolding(now),
-                LedgerPartition(store, StreamPartition("budgets")) { false },
+                LedgerPartition(store, StreamPartition("budgets"), self, clock, log) { false },
             )
             assertEquals(GrantUpdateOutcome.UPDATED, updater.update(budget, neededTokens = 26_000, isAwaited = true))
             assertTrue(budget.holding.grantedTokens >= 26_000)
