Store again in bounded appends what the store lost

Cause: after a return of the store the first append of a router held all that the store lacks, which at 22,500 customers a partition (270,000 in 12) may exceed the limit of a call.

Change: at most 500 customers an append, until the store has all. TargetClient has a function for idle connections instead of a choice broken over ten lines.

An append that had to be divided was not run.

--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
@@ -56,19 +56,14 @@
         val maximumIdle = if (isRepeatable) MAXIMUM_IDLE_MILLISECONDS else MAXIMUM_IDLE_NOT_REPEATABLE_MILLISECONDS
         val address = addressOf(target)
         val usableSince = clock.now().plusMilliseconds(-maximumIdle)
-        val idle =
-            if (connector.isCutOff) {
-                acquireRelayed(
-                    address,
-                    usableSince,
-                )
-            } else {
-                connections.acquireIdle(address, usableSince)
-            }
+        val idle = acquireIdle(address, usableSince)
         if (idle != null && idle in excluded) idle.close()
         return idle?.takeUnless { it in excluded } ?: connector.connect(target.entry.id, address)
     }
 
+    private fun acquireIdle(address: InetSocketAddress, usableSince: MonotonicTime): ClientConnection? =
+        if (connector.isCutOff) acquireRelayed(address, usableSince) else connections.acquireIdle(address, usableSince)
+
     /** Returns an idle connection to [address] through a router that still offers to connect, or null. */
     private fun acquireRelayed(address: InetSocketAddress, usableSince: MonotonicTime): ClientConnection? {
         while (true) {
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetLedgers.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/BudgetLedgers.kt
@@ -42,7 +42,7 @@
                 var attempts = 0
                 var isDone = false
                 while (!isDone && attempts++ < MAXIMUM_RESTORE_ATTEMPTS) {
-                    log.loggingFailures("budget") { isDone = ledger.storeAgain() in FINAL_UPDATES }
+                    log.loggingFailures("budget") { isDone = ledger.storeAgain() in FINAL_UPDATES && ledger.isWhole }
                     if (!isDone) delay(RESTORE_PAUSE_MILLISECONDS)
                 }
             }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/state/LedgerPartition.kt
@@ -76,6 +76,9 @@
      */
     fun isSettling(now: MonotonicTime, milliseconds: Long): Boolean = now < restoredAt.plusMilliseconds(milliseconds)
 
+    /** Whether the store has all that is known here, as of the last read. */
+    val isWhole: Boolean get() = unstored.isEmpty()
+
     /** Stores what the store lacks of the allocations that were known before it came back from a copy. */
     suspend fun storeAgain(): LedgerUpdate = update { _, isFresh ->
         if (isFresh) LedgerPlan.Store(emptyMap()) else LedgerPlan.Read
@@ -119,7 +122,7 @@
                 if (!isFresh) return updates.end(LedgerUpdate.Unread)
                 planned = plan(updates, isFresh = true)
             }
-            val stored = unstored.associateWith { allocationOf(it) } + planned.orEmpty()
+            val stored = unstored.take(MAXIMUM_STORED_AGAIN).associateWith { allocationOf(it) } + planned.orEmpty()
             if (stored.isEmpty()) return updates.end(LedgerUpdate.Unchanged)
             when (val append = append(stored)) {
                 is StreamAppend.Appended -> return updates.end(LedgerUpdate.Stored)
@@ -320,6 +323,9 @@
         val NO_ALLOCATION = BudgetAllocation()
         val NO_VERSION = AllocationVersion()
 
+        /** Keeps an append far below the store's limit; more follow. */
+        const val MAXIMUM_STORED_AGAIN = 500
+
         /** Several times what the routers take to store again what the store lost. */
         const val RESTATEMENT_MILLISECONDS = 10_000L
 
