Recognize orders for roll-outs after the store came back from a copy

Cause: an order is identified by its offset, and offsets are given out again. Written again at a higher one it was a new order, and its stored status belonged to none.

Change: for 10 s after a return orders are recognized by their content and take their new offset; replaced orders that the copy shows are ignored; the phase in memory is stored again.

--- a/core/src/main/kotlin/org/heatherwind/core/rollout/ServiceRollout.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/rollout/ServiceRollout.kt
@@ -3,13 +3,13 @@
 import org.heatherwind.core.identity.MonotonicTime
 
 /** One order and what this router knows of it. Confined to one thread. */
-public class ServiceRollout(
-    public val order: RolloutOrder,
-    private val policy: RolloutPolicy,
-    orderedAt: MonotonicTime,
-) {
+public class ServiceRollout(order: RolloutOrder, private val policy: RolloutPolicy, orderedAt: MonotonicTime) {
     private val comparison = VersionComparison()
 
+    /** The order, with the offset at which it is stored now. */
+    public var order: RolloutOrder = order
+        private set
+
     /** Whether all targets had the ordered version already when the order was read; null until that is known. */
     public var isVersionInUse: Boolean? = null
 
@@ -49,6 +49,11 @@
         return true
     }
 
+    /** Records that the order is stored at [offset] now, since the store came back from a copy. */
+    public fun renumber(offset: Long) {
+        order = order.copy(offset = offset)
+    }
+
     /** Compares the versions by [evidence] of all routers, known at [now]. Returns whether the verdict changed. */
     public fun compare(evidence: VersionEvidence, now: MonotonicTime): Boolean {
         val before = verdict
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/RolloutManager.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/RolloutManager.kt
@@ -108,7 +108,7 @@
     suspend fun decideOnce() {
         val now = clock.now()
         observations.forEach { it.checkOverdue(now) }
-        for (tracked in rollouts.all.filter { it.isOpen }) {
+        for (tracked in rollouts.all.filter { it.isOpen || it.isPhaseLost }) {
             val rollout = tracked.rollout
             if (rollout.isVersionInUse == null) {
                 rollout.isVersionInUse = targets.hasOnly(rollout.order.service, rollout.order.targetVersion)
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/RolloutStatusWriter.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/RolloutStatusWriter.kt
@@ -1,7 +1,9 @@
 package org.heatherwind.gateway.rollout
 
 import org.heatherwind.core.identity.MonotonicClock
+import org.heatherwind.core.identity.MonotonicTime
 import org.heatherwind.core.identity.Timestamp
+import org.heatherwind.core.rollout.RolloutOrder
 import org.heatherwind.core.rollout.RolloutPhase
 import org.heatherwind.core.rollout.RolloutStatus
 import org.heatherwind.gateway.state.FleetDocuments
@@ -31,13 +33,14 @@
     suspend fun writeWanted(tracked: TrackedRollout) {
         val rollout = tracked.rollout
         val now = clock.now()
-        if (rollout.wantedPhase(now) == null || now < tracked.nextWriteAt) return
+        val isStoredAnywhere = rollout.order.offset != RolloutOrder.NO_OFFSET
+        if (phaseToStore(tracked, now) == null || !isStoredAnywhere || now < tracked.nextWriteAt) return
         tracked.nextWriteAt = now.plusMilliseconds(RETRY_MILLISECONDS + random.nextLong(RETRY_MILLISECONDS))
         val read = store.newest(documents.statusPartition)
         if (read !is StreamRead.Records) return
         statuses.onSnapshot(read.records)
         statuses.onCurrent(clock.now(), isReconnected = false)
-        val phase = rollout.wantedPhase(clock.now()) ?: return
+        val phase = phaseToStore(tracked, clock.now()) ?: return
         val status = statusOf(tracked, phase)
         val record = documents.rolloutStatusRecord(status)
         val append = store.append(documents.statusPartition, listOf(record), AppendCondition.EndsAt(read.nextOffset))
@@ -52,7 +55,10 @@
             "answers" to rollout.evidence.introducedAnswers,
         )
         when (append) {
-            is StreamAppend.Appended -> rollouts.adoptStatus(status)
+            is StreamAppend.Appended -> {
+                rollouts.adoptStatus(status)
+                tracked.isPhaseLost = false
+            }
 
             // Another router was faster: its status is read at once.
             StreamAppend.Conflict -> tracked.nextWriteAt = clock.now()
@@ -61,6 +67,9 @@
         }
     }
 
+    private fun phaseToStore(tracked: TrackedRollout, now: MonotonicTime): RolloutPhase? =
+        tracked.rollout.wantedPhase(now) ?: tracked.rollout.phase.takeIf { tracked.isPhaseLost }
+
     private fun statusOf(tracked: TrackedRollout, phase: RolloutPhase): RolloutStatus {
         val rollout = tracked.rollout
         val remaining = rollout.deadline.millisecondsSince(clock.now())
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/RolloutSubscribers.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/RolloutSubscribers.kt
@@ -38,6 +38,8 @@
         }
     }
 
+    override fun onRestored(now: MonotonicTime): Unit = rollouts.onRestored()
+
     override fun onCurrent(now: MonotonicTime, isReconnected: Boolean) {
         rollouts.ordersReadAt = now
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/Rollouts.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/Rollouts.kt
@@ -24,6 +24,12 @@
     /** Versions whose roll-out was replaced by another order before it was completed. */
     private val abandonedVersions = HashMap<ServiceId, Set<String>>()
 
+    /** Orders that were replaced by others; a copy of the store may show them again. */
+    private val replacedOrders = HashMap<ServiceId, Set<RolloutOrder>>()
+
+    /** Until when orders are recognized by their content, since the store came back from a copy. */
+    private var renumberedUntil = MonotonicTime.distantPast
+
     /** Time of the last read that confirmed all orders to be known. */
     var ordersReadAt = MonotonicTime.distantPast
 
@@ -34,7 +40,7 @@
     val all: Collection<TrackedRollout> get() = tracked.values
 
     /** Whether a status may still be written, so that statuses have to be read. */
-    val isAnyOpen: Boolean get() = tracked.values.any { it.isOpen }
+    val isAnyOpen: Boolean get() = tracked.values.any { it.isOpen || it.isPhaseLost }
 
     /** Whether the roll-outs are known well enough to serve requests. */
     val isReady: Boolean get() = tracked.isEmpty() || statusesReadAt != MonotonicTime.distantPast
@@ -51,10 +57,13 @@
     /** Adopts [order] if it is newer than the service's last one. Its status is not written before [firstWriteAt]. */
     fun adoptOrder(order: RolloutOrder, firstWriteAt: MonotonicTime) {
         val previous = tracked[order.service]
-        if (previous != null && previous.rollout.order.offset >= order.offset) return
+        if (previous != null && isKnown(order, previous, firstWriteAt)) return
         if (previous != null && previous.rollout.phase != RolloutPhase.Completed) {
             abandon(order.service, previous.rollout.order.targetVersion)
         }
+        previous?.rollout?.order?.let { replaced ->
+            replacedOrders[order.service] = replacedOrders[order.service].orEmpty() + replaced
+        }
         abandonedVersions[order.service] = abandonedVersionsOf(order.service) - order.targetVersion
         tracked[order.service] = TrackedRollout(ServiceRollout(order, policy, clock.now()), firstWriteAt)
         log.stateChange(
@@ -68,6 +77,23 @@
         statuses[order.service]?.let { adoptStatus(it) }
     }
 
+    /** Returns whether [order] is the one of [previous], or an older one; notes a new offset of that one. */
+    private fun isKnown(order: RolloutOrder, previous: TrackedRollout, firstWriteAt: MonotonicTime): Boolean {
+        val current = previous.rollout.order
+        if (clock.now() >= renumberedUntil) return current.offset >= order.offset
+        if (!current.isSameAs(order)) return replacedOrders[order.service].orEmpty().any { it.isSameAs(order) }
+        previous.rollout.renumber(order.offset)
+        previous.isPhaseLost = previous.rollout.phase != null
+        previous.nextWriteAt = firstWriteAt
+        return true
+    }
+
+    /** Called when the store came back from a copy: offsets are void, and phases that were stored may be lost. */
+    fun onRestored() {
+        renumberedUntil = clock.now().plusMilliseconds(RENUMBERING_MILLISECONDS)
+        tracked.values.forEach { it.rollout.renumber(RolloutOrder.NO_OFFSET) }
+    }
+
     /** Adopts the stored [status], unless it belongs to an earlier order or would undo a final phase. */
     fun adoptStatus(status: RolloutStatus) {
         statuses[status.service] = status
@@ -80,6 +106,7 @@
             }
             return
         }
+        if (status.phase == rollout.phase) tracked[status.service]?.isPhaseLost = false
         val remaining = status.endsAt?.let { it.epochMilliseconds - wallClock().epochMilliseconds }
         if (!rollout.adopt(status, clock.now(), remaining)) return
         log.stateChange(
@@ -101,6 +128,9 @@
         /** The subject of log lines about roll-outs. */
         const val SUBJECT = "rollout"
 
+        /** Several times what operators take to write again what a copy of the store lacks. */
+        private const val RENUMBERING_MILLISECONDS = 10_000L
+
         /** Several reads; a router that cannot see a roll-back sends nothing to the new version. */
         private const val STATUS_LIFETIME_MILLISECONDS = 2_500L
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/TrackedRollout.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/rollout/TrackedRollout.kt
@@ -18,6 +18,9 @@
     /** Share of the requests that was last logged. */
     var loggedShare = 0.0
 
+    /** Whether the phase has to be stored again, since the store came back from a copy. */
+    var isPhaseLost = false
+
     /** Whether the phase may still change. */
     val isOpen: Boolean get() = rollout.phase?.isFinal != true
 
--- a/gateway/src/test/kotlin/org/heatherwind/gateway/rollout/RolloutFleetTest.kt
+++ b/gateway/src/test/kotlin/org/heatherwind/gateway/rollout/RolloutFleetTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.heatherwind.gateway.state.MemoryRecords
+import org.heatherwind.gateway.store.NewRecord
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.TestFactory
 import kotlin.random.Random
@@ -22,9 +23,13 @@
         val faultProbability: Double = 0.0,
         val routers: Int = 5,
         val requestsPerSecond: Int = 25,
+        val restore: Restore? = null,
         val disturb: suspend (List<RolloutRouter>) -> Unit = {},
     )
 
+    /** A return of the store from a copy without the order, which is written again after [recordsBefore] others. */
+    private class Restore(val millisecondsAfterOrder: Long, val recordsBefore: Int)
+
     private val good = NewVersion(badShare = 0.0)
     private val failing = NewVersion(badShare = 0.5)
 
@@ -46,6 +51,24 @@
             delay(3_000)
             routers.forEach { it.setDisconnected(false) }
         }),
+        Case(
+            "a failing version, the store returns after the roll-back",
+            failing,
+            "RolledBack",
+            restore = Restore(millisecondsAfterOrder = 12_000, recordsBefore = 0),
+        ),
+        Case(
+            "a failing version, the store returns and orders are in another sequence",
+            failing,
+            "RolledBack",
+            restore = Restore(millisecondsAfterOrder = 12_000, recordsBefore = 3),
+        ),
+        Case(
+            "a good version, the store returns while it is introduced",
+            good,
+            "Completed",
+            restore = Restore(millisecondsAfterOrder = 6_000, recordsBefore = 2),
+        ),
         Case("a failing version, a router joins after the roll-back", failing, "RolledBack", disturb = { routers ->
             routers.last().kill()
             delay(12_000)
@@ -67,10 +90,12 @@
         routers.forEach { it.start(routers - it) }
         try {
             delay(ORDERED_AT)
+            records.copy()
             val order = TextDocuments.order(RolloutRouter.service, RolloutRouter.NEW, DURATION_MILLISECONDS)
             records.of(TextDocuments.planPartition) += order
             delay(1_000)
             case.disturb(routers)
+            case.restore?.let { restore(it, records, order, routers) }
             delay(DURATION_MILLISECONDS + 6_000)
             val phases = records.of(TextDocuments.statusPartition).map { it.value.decodeToString().split(' ')[1] }
             assertEquals(listOf("Running", case.finalPhase).filter { it in phases }, phases, "stored phases")
@@ -81,6 +106,25 @@
         }
     }
 
+    /** The last router restarts afterwards and knows nothing but what the store has. */
+    private suspend fun restore(
+        restore: Restore,
+        records: MemoryRecords,
+        order: NewRecord,
+        routers: List<RolloutRouter>,
+    ) {
+        delay(restore.millisecondsAfterOrder)
+        routers.forEach { it.setDisconnected(true) }
+        delay(500)
+        records.restore()
+        repeat(restore.recordsBefore) { records.of(TextDocuments.planPartition) += NewRecord("other", byteArrayOf(1)) }
+        records.of(TextDocuments.planPartition) += order
+        routers.forEach { it.setDisconnected(false) }
+        delay(4_000)
+        routers.last().kill()
+        routers.last().start(routers - routers.last())
+    }
+
     private fun TestScope.fleet(case: Case, seed: Int, records: MemoryRecords): List<RolloutRouter> =
         List(case.routers) { number ->
             RolloutRouter(
