Undo two broken layouts that the formatter left

Cause: a condition broken over four lines in Brittleness, and a KDoc of ClientConnection spread for nothing.

Change: a when with the same two branches (a stated figure is never negative), and the KDoc as it was. Behaviour unchanged.

--- a/core/src/main/kotlin/org/heatherwind/core/placement/Brittleness.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/placement/Brittleness.kt
@@ -87,12 +87,9 @@
     /** Trials of all routers together are at most as many as the refusals that the target bears. */
     private fun postponeTrial(now: MonotonicTime) {
         val bearable = bearableRefusals ?: return
-        val interval = if (bearable >
-            0
-        ) {
-            routers() * MILLISECONDS_PER_SECOND / bearable
-        } else {
-            LONGEST_INTERVAL_MILLISECONDS
+        val interval = when (bearable) {
+            0L -> LONGEST_INTERVAL_MILLISECONDS
+            else -> routers() * MILLISECONDS_PER_SECOND / bearable
         }
         nextTrialAt = now.plusMilliseconds(interval.coerceIn(MILLISECONDS_PER_SECOND, LONGEST_INTERVAL_MILLISECONDS))
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ClientConnection.kt
@@ -43,9 +43,7 @@
     class Failed(val reason: String) : ResponsePart
 }
 
-/**
- * One connection to a target, a router or the store, for one request at a time. Confined to its event loop.
- */
+/** One connection to a target, a router or the store, for one request at a time. Confined to its event loop. */
 internal class ClientConnection(val channel: Channel, private val clock: MonotonicClock) {
     private val parts = Queue<ResponsePart>(Queue.UNLIMITED) { if (it is ResponsePart.Body) it.content.release() }
 
