--- a/core/src/main/kotlin/org/heatherwind/core/reach/TargetReach.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/reach/TargetReach.kt
@@ -6,6 +6,9 @@
 /**
  * Whether this router reaches targets by connections of its own. Connections that fail at several targets, with none
  * established in between, tell a cut of the router's own links from the failure of a target. Confined to one thread.
+ *
+ * A connection that times out counts only if nothing arrived from any target meanwhile: a router whose processor or link
+ * is overloaded connects too late, but goes on to receive.
  */
 public class TargetReach {
     /** The targets at which connections failed since the last established one, with the time of the last failure. */
@@ -21,8 +24,19 @@
     /** The number of targets at which connections failed since the last established one. */
     public val failedTargets: Int get() = failures.size
 
-    /** Records at [now] that a connection to [target] failed. Returns whether the router is cut off from now on. */
-    public fun recordFailed(target: TargetId, now: MonotonicTime): Boolean {
+    /**
+     * Records at [now] that a connection to [target] failed because of [failure]. Returns whether the router is cut off
+     * from now on.
+     *
+     * @param receivedAt when bytes of any target last arrived on a direct connection
+     */
+    public fun recordFailed(
+        target: TargetId,
+        failure: ConnectFailure,
+        receivedAt: MonotonicTime,
+        now: MonotonicTime,
+    ): Boolean {
+        if (!isEvidence(failure, receivedAt)) return false
         failures.values.removeIf { now.millisecondsSince(it) > EVIDENCE_MILLISECONDS }
         failures[target] = now
         if (isCutOff || failures.size < MINIMUM_TARGETS) return false
@@ -30,6 +44,11 @@
         return true
     }
 
+    private fun isEvidence(failure: ConnectFailure, receivedAt: MonotonicTime): Boolean = when (failure) {
+        ConnectFailure.Refused -> true
+        is ConnectFailure.TimedOut -> receivedAt <= failure.startedAt
+    }
+
     /** Records a direct connection. Returns since when the router was cut off until now, or null. */
     public fun recordEstablished(): MonotonicTime? {
         failures.clear()
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
@@ -3,6 +3,9 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandler.Sharable
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.ConnectTimeoutException
@@ -11,6 +14,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.MonotonicTime
+import org.heatherwind.core.reach.ConnectFailure
 import java.net.ConnectException
 import java.net.InetSocketAddress
 
@@ -18,15 +22,21 @@
 internal class ConnectionPool(private val eventLoop: EventLoop, private val clock: MonotonicClock) {
     private val idle = HashMap<InetSocketAddress, ArrayDeque<ClientConnection>>()
 
+    /** When bytes last arrived on a connection that was opened here. */
+    var receivedAt: MonotonicTime = MonotonicTime.distantPast
+        private set
+
     /** Connections opened since the start of the process. */
     var openedCount = 0L
         private set
 
+    private val receiptRecorder = ReceiptRecorder()
+
     private val bootstrap = SocketOptions.applyTo(
         Bootstrap().group(eventLoop).channel(NioSocketChannel::class.java)
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(ResponseDecoder(), HttpRequestEncoder())
+                    channel.pipeline().addLast(receiptRecorder, ResponseDecoder(), HttpRequestEncoder())
                 }
             }),
     )
@@ -47,7 +57,20 @@
 
     /** Opens a connection to [address]. Returns null if it is not established within [timeoutMilliseconds]. */
     suspend fun connect(address: InetSocketAddress, timeoutMilliseconds: Long): ClientConnection? =
-        establish(startConnect(address, timeoutMilliseconds))
+        (tryConnect(address, timeoutMilliseconds) as? ConnectResult.Established)?.connection
+
+    /** Opens a connection to [address] within [timeoutMilliseconds], or returns why there is none. */
+    suspend fun tryConnect(address: InetSocketAddress, timeoutMilliseconds: Long): ConnectResult {
+        val startedAt = clock.now()
+        val future = startConnect(address, timeoutMilliseconds)
+        val connection = establish(future)
+        val cause = future.cause()
+        return when {
+            connection != null -> ConnectResult.Established(connection)
+            cause is ConnectTimeoutException -> ConnectResult.Failed(ConnectFailure.TimedOut(startedAt))
+            else -> ConnectResult.Failed(ConnectFailure.Refused)
+        }
+    }
 
     /**
      * Returns whether the host at [address] refuses a new connection. A connection that is established within
@@ -105,6 +128,14 @@
         idle.values.removeIf { it.isEmpty() }
     }
 
+    @Sharable
+    private inner class ReceiptRecorder : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            receivedAt = clock.now()
+            context.fireChannelRead(message)
+        }
+    }
+
     private companion object {
         /** More concurrent requests to one address are rare. */
         const val MAXIMUM_IDLE_PER_ADDRESS = 16
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/relay/TargetConnector.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/relay/TargetConnector.kt
@@ -5,8 +5,10 @@
 import kotlinx.coroutines.isActive
 import org.heatherwind.core.identity.MonotonicClock
 import org.heatherwind.core.identity.TargetId
+import org.heatherwind.core.reach.ConnectFailure
 import org.heatherwind.core.reach.TargetReach
 import org.heatherwind.gateway.http.ClientConnection
+import org.heatherwind.gateway.http.ConnectResult
 import org.heatherwind.gateway.http.ConnectionPool
 import org.heatherwind.gateway.telemetry.DecisionLog
 import org.heatherwind.gateway.telemetry.GatewayMetrics
@@ -35,9 +37,10 @@
     /** Opens a connection to [target] at [address], or returns null. */
     suspend fun connect(target: TargetId, address: InetSocketAddress): ClientConnection? {
         if (!reach.isCutOff) {
-            val connection = direct.connect(address, CONNECT_TIMEOUT_MILLISECONDS)
-            if (connection != null) return connection.also { recordEstablished() }
-            recordFailed(target)
+            when (val result = direct.tryConnect(address, CONNECT_TIMEOUT_MILLISECONDS)) {
+                is ConnectResult.Established -> return result.connection.also { recordEstablished() }
+                is ConnectResult.Failed -> recordFailed(target, result.failure)
+            }
         }
         return if (reach.isCutOff) connectThroughRelay(target, address) else null
     }
@@ -111,13 +114,15 @@
         )
     }
 
-    private fun recordFailed(target: TargetId) {
-        if (!reach.recordFailed(target, clock.now())) return
+    private fun recordFailed(target: TargetId, failure: ConnectFailure) {
+        if (!reach.recordFailed(target, failure, direct.receivedAt, clock.now())) return
         direct.closeAllIdle()
         log.stateChange(
             SUBJECT,
             "No target can be reached directly; connecting through other routers.",
             "failedTargets" to reach.failedTargets,
+            "failure" to failure,
+            "receivedMillisecondsAgo" to clock.now().millisecondsSince(direct.receivedAt),
             "isRelayOffered" to (relays.choose(emptySet()) != null),
         )
     }
