--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -35,6 +35,8 @@
 import org.heatherwind.gateway.http.SimpleHttpClient
 import org.heatherwind.gateway.http.SimpleHttpListener
 import org.heatherwind.gateway.http.SimpleResponse
+import org.heatherwind.gateway.http.TrafficCounter
+import org.heatherwind.gateway.overload.LoadMonitor
 import org.heatherwind.gateway.peer.CeilingWitness
 import org.heatherwind.gateway.peer.CloseCeilingsRequest
 import org.heatherwind.gateway.peer.CloseCeilingsResponse
@@ -119,7 +121,17 @@
     private val storeCalls = StoreCallCounter(documents, metrics, log)
     private val store = storeCalls.counted(store)
     private val stopped = CompletableDeferred<Unit>()
-    private val client: TargetClient = TargetClient(eventLoop, clock, log, metrics) { peerReports.relayAddresses() }
+    private val traffic = TrafficCounter()
+    private val loadMonitor = LoadMonitor(clock, log, traffic, onWindow = {})
+    private val client: TargetClient = TargetClient(
+        eventLoop = eventLoop,
+        clock = clock,
+        log = log,
+        metrics = metrics,
+        relayAddresses = { peerReports.relayAddresses() },
+        traffic = traffic,
+        onConnected = loadMonitor::recordConnect,
+    )
     private val relayServer = RelayServer(
         group = group,
         log = log,
@@ -237,6 +249,7 @@
                 ),
             ),
         ),
+        traffic,
     )
 
     /** Entries of targets change constantly, so reads are spaced. */
@@ -293,6 +306,7 @@
         scope.launch { client.runProbes { state.targetAddresses } }
         scope.launch { rollouts.runStatusReads() }
         scope.launch { rollouts.runDecisions() }
+        scope.launch { loadMonitor.run() }
         scope.launch { runMaintenance() }
         log.process(
             "Started.",
@@ -420,6 +434,18 @@
             "heatherwind_targets_passed_over",
             "Times since the start that a target was passed over for its pace, by service.",
         ) { paces.passedOverCounts }
+        metrics.gauge("heatherwind_processor_delay_seconds", "Shortest delay of a task in the last window.") {
+            (loadMonitor.window.processorMilliseconds ?: 0) / MILLISECONDS_PER_SECOND
+        }
+        metrics.gauge("heatherwind_link_delay_seconds", "Shortest time to connect beyond the usual in the last window.") {
+            (loadMonitor.window.linkMilliseconds ?: 0) / MILLISECONDS_PER_SECOND
+        }
+        metrics.gauge("heatherwind_received_bytes", "Bytes received from callers and targets since the start.") {
+            traffic.receivedBytes.toDouble()
+        }
+        metrics.gauge("heatherwind_sent_bytes", "Bytes sent to callers and targets since the start.") {
+            traffic.sentBytes.toDouble()
+        }
         metrics.gauge("heatherwind_caller_connections", "Open connections of callers.") {
             listener.connectionCount.toDouble()
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/caller/CallerListener.kt
@@ -10,10 +10,15 @@
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpResponseEncoder
 import org.heatherwind.core.identity.MonotonicTime
+import org.heatherwind.gateway.http.TrafficCounter
 import java.net.InetSocketAddress
 
 /** Accepts connections from callers. */
-internal class CallerListener(private val group: EventLoopGroup, private val shared: CallerContext) {
+internal class CallerListener(
+    private val group: EventLoopGroup,
+    private val shared: CallerContext,
+    private val traffic: TrafficCounter,
+) {
     private val connections = LinkedHashMap<Channel, CallerConnection>()
     private var serverChannel: Channel? = null
 
@@ -70,7 +75,7 @@
         channel.closeFuture().addListener { connections.remove(channel) }
         val decodableBytes = maxOf(MAXIMUM_DECODABLE_HEADER_BYTES, shared.limits().maximumHeaderBytes)
         val config = HttpDecoderConfig().setMaxHeaderSize(decodableBytes).setMaxInitialLineLength(decodableBytes)
-        channel.pipeline().addLast(StrictRequestDecoder(config), HttpResponseEncoder(), connection)
+        channel.pipeline().addLast(traffic, StrictRequestDecoder(config), HttpResponseEncoder(), connection)
     }
 
     /** Reads up to the end of what has arrived, so that a request and its caller's close are read together. */
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
@@ -19,7 +19,11 @@
 import java.net.InetSocketAddress
 
 /** Opens HTTP connections and pools idle ones for reuse. Confined to one event loop. */
-internal class ConnectionPool(private val eventLoop: EventLoop, private val clock: MonotonicClock) {
+internal class ConnectionPool(
+    private val eventLoop: EventLoop,
+    private val clock: MonotonicClock,
+    private val traffic: TrafficCounter = TrafficCounter(),
+) {
     private val idle = HashMap<InetSocketAddress, ArrayDeque<ClientConnection>>()
 
     /** When bytes last arrived on a connection that was opened here. */
@@ -36,7 +40,7 @@
         Bootstrap().group(eventLoop).channel(NioSocketChannel::class.java)
             .handler(object : ChannelInitializer<Channel>() {
                 override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(receiptRecorder, ResponseDecoder(), HttpRequestEncoder())
+                    channel.pipeline().addLast(traffic, receiptRecorder, ResponseDecoder(), HttpRequestEncoder())
                 }
             }),
     )
@@ -66,7 +70,9 @@
         val connection = establish(future)
         val cause = future.cause()
         return when {
-            connection != null -> ConnectResult.Established(connection)
+            connection != null ->
+                ConnectResult.Established(connection, clock.now().millisecondsSince(startedAt))
+
             cause is ConnectTimeoutException -> ConnectResult.Failed(ConnectFailure.TimedOut(startedAt))
             else -> ConnectResult.Failed(ConnectFailure.Refused)
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/relay/TargetConnector.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/relay/TargetConnector.kt
@@ -20,6 +20,7 @@
  * Confined to the event loop.
  *
  * @param direct opens direct connections
+ * @param onConnected called with the milliseconds that a direct connection took
  */
 internal class TargetConnector(
     private val direct: ConnectionPool,
@@ -28,6 +29,7 @@
     private val clock: MonotonicClock,
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
+    private val onConnected: (Long) -> Unit = {},
 ) {
     private val reach = TargetReach()
 
@@ -38,7 +40,12 @@
     suspend fun connect(target: TargetId, address: InetSocketAddress): ClientConnection? {
         if (!reach.isCutOff) {
             when (val result = direct.tryConnect(address, CONNECT_TIMEOUT_MILLISECONDS)) {
-                is ConnectResult.Established -> return result.connection.also { recordEstablished() }
+                is ConnectResult.Established -> {
+                    recordEstablished()
+                    onConnected(result.milliseconds)
+                    return result.connection
+                }
+
                 is ConnectResult.Failed -> recordFailed(target, result.failure)
             }
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/serve/TargetClient.kt
@@ -6,6 +6,7 @@
 import org.heatherwind.core.placement.TargetLoad
 import org.heatherwind.gateway.http.ClientConnection
 import org.heatherwind.gateway.http.ConnectionPool
+import org.heatherwind.gateway.http.TrafficCounter
 import org.heatherwind.gateway.relay.Relays
 import org.heatherwind.gateway.relay.TargetConnector
 import org.heatherwind.gateway.relay.TunnelClient
@@ -20,8 +21,10 @@
     log: DecisionLog,
     metrics: GatewayMetrics,
     private val relayAddresses: () -> List<InetSocketAddress>,
+    traffic: TrafficCounter = TrafficCounter(),
+    onConnected: (Long) -> Unit = {},
 ) {
-    private val connections = ConnectionPool(eventLoop, clock)
+    private val connections = ConnectionPool(eventLoop, clock, traffic)
 
     /** Holds idle connections that lead through other routers. */
     private val relayed = ConnectionPool(eventLoop, clock)
@@ -32,6 +35,7 @@
         clock = clock,
         log = log,
         metrics = metrics,
+        onConnected = onConnected,
     )
 
     /** Connections opened since the start of the process. */
