--- a/core/src/main/kotlin/org/heatherwind/core/overload/WindowDelay.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/overload/WindowDelay.kt
@@ -4,7 +4,7 @@
  * The shortest delays of one window.
  *
  * @property processorMilliseconds delay of tasks of the event loop, or null if too few were measured
- * @property linkMilliseconds time to connect to a target beyond the shortest one known, or null if too few were measured
+ * @property linkMilliseconds time to connect to a target beyond the shortest known, or null if too few were measured
  */
 public data class WindowDelay(val processorMilliseconds: Long?, val linkMilliseconds: Long?) {
     /** The longer delay as a multiple of what requests may wait for this router; it is overloaded above 1. */
--- a/core/src/main/kotlin/org/heatherwind/core/reach/TargetReach.kt
+++ b/core/src/main/kotlin/org/heatherwind/core/reach/TargetReach.kt
@@ -7,8 +7,8 @@
  * Whether this router reaches targets by connections of its own. Connections that fail at several targets, with none
  * established in between, tell a cut of the router's own links from the failure of a target. Confined to one thread.
  *
- * A connection that times out counts only if nothing arrived from any target meanwhile: a router whose processor or link
- * is overloaded connects too late, but goes on to receive.
+ * A connection that times out counts only if nothing arrived from any target meanwhile: a router whose processor or
+ * link is overloaded connects too late, but goes on to receive.
  */
 public class TargetReach {
     /** The targets at which connections failed since the last established one, with the time of the last failure. */
--- a/core/src/test/kotlin/org/heatherwind/core/reach/TargetReachTest.kt
+++ b/core/src/test/kotlin/org/heatherwind/core/reach/TargetReachTest.kt
@@ -8,7 +8,7 @@
 
 /** Given outcomes of connection attempts, when they are judged, then only a cut of the router's own links counts. */
 class TargetReachTest {
-    /** An outcome at [at]: [target] refused, or did not answer since [startedAt]; null if a connection was established. */
+    /** An outcome at [at]: [target] refused, or did not answer since [startedAt]; no target if one was reached. */
     private class Outcome(
         val at: Long,
         val target: String?,
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/GatewayProcess.kt
@@ -122,7 +122,7 @@
     private val store = storeCalls.counted(store)
     private val stopped = CompletableDeferred<Unit>()
     private val traffic = TrafficCounter()
-    private val loadMonitor = LoadMonitor(clock, log, traffic, onWindow = {})
+    private val loadMonitor = LoadMonitor(clock, log, traffic)
     private val client: TargetClient = TargetClient(
         eventLoop = eventLoop,
         clock = clock,
@@ -281,6 +281,7 @@
         settings.relayAddress?.let { relayServer.listen(it) }
         val callerAddress = listener.listen(settings.callerAddress)
         registerGauges()
+        registerLoadGauges()
         follow(
             { PLAN_POLLING },
             documents.planPartition,
@@ -426,18 +427,11 @@
     private fun coldCeilingOf(service: ServiceId): ColdCeiling? = state.routes?.plan?.services?.get(service)
         ?.coldRequestsPerSecond?.let { ColdCeiling(it, settings.coldOverage, settings.coldSlack) }
 
-    private fun registerGauges() {
-        metrics.gaugeByService("heatherwind_paced_targets", "Targets whose pace is limited at present, by service.") {
-            state.limitedTargets
-        }
-        metrics.gaugeByService(
-            "heatherwind_targets_passed_over",
-            "Times since the start that a target was passed over for its pace, by service.",
-        ) { paces.passedOverCounts }
+    private fun registerLoadGauges() {
         metrics.gauge("heatherwind_processor_delay_seconds", "Shortest delay of a task in the last window.") {
             (loadMonitor.window.processorMilliseconds ?: 0) / MILLISECONDS_PER_SECOND
         }
-        metrics.gauge("heatherwind_link_delay_seconds", "Shortest time to connect beyond the usual in the last window.") {
+        metrics.gauge("heatherwind_link_delay_seconds", "Shortest time to connect beyond the usual, last window.") {
             (loadMonitor.window.linkMilliseconds ?: 0) / MILLISECONDS_PER_SECOND
         }
         metrics.gauge("heatherwind_received_bytes", "Bytes received from callers and targets since the start.") {
@@ -446,6 +440,16 @@
         metrics.gauge("heatherwind_sent_bytes", "Bytes sent to callers and targets since the start.") {
             traffic.sentBytes.toDouble()
         }
+    }
+
+    private fun registerGauges() {
+        metrics.gaugeByService("heatherwind_paced_targets", "Targets whose pace is limited at present, by service.") {
+            state.limitedTargets
+        }
+        metrics.gaugeByService(
+            "heatherwind_targets_passed_over",
+            "Times since the start that a target was passed over for its pace, by service.",
+        ) { paces.passedOverCounts }
         metrics.gauge("heatherwind_caller_connections", "Open connections of callers.") {
             listener.connectionCount.toDouble()
         }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/ConnectionPool.kt
@@ -74,6 +74,7 @@
                 ConnectResult.Established(connection, clock.now().millisecondsSince(startedAt))
 
             cause is ConnectTimeoutException -> ConnectResult.Failed(ConnectFailure.TimedOut(startedAt))
+
             else -> ConnectResult.Failed(ConnectFailure.Refused)
         }
     }
--- a/gateway/src/main/kotlin/org/heatherwind/gateway/http/TrafficCounter.kt
+++ b/gateway/src/main/kotlin/org/heatherwind/gateway/http/TrafficCounter.kt
@@ -6,7 +6,9 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 
-/** Counts the bytes that the connections of callers and targets carry, without those of TCP. The first handler of each. */
+/**
+ * Counts the bytes that the connections of callers and targets carry, without those of TCP. The first handler of each.
+ */
 @Sharable
 internal class TrafficCounter : ChannelDuplexHandler() {
     /** Bytes received since the start. */
